--- a/src/bin/topazwell-adapter/main.rs
+++ b/src/bin/hopwalk-adapter/main.rs
@@ -7,8 +7,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use topazwell::interface::Action;
-use topazwell::Brain;
+use hopwalk::interface::Action;
+use hopwalk::Brain;
 use wire::{Message, WireError};
 
 /// An instance and what it wants done in the batch at hand.
@@ -50,7 +50,7 @@
             Message::Unknown(name) => {
                 if !self.noted_unknown {
                     self.noted_unknown = true;
-                    eprintln!("topazwell-adapter: skipping unknown event '{name}'");
+                    eprintln!("hopwalk-adapter: skipping unknown event '{name}'");
                 }
             }
         }
@@ -107,7 +107,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("topazwell-adapter: {message}");
+            eprintln!("hopwalk-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/topazwell-adapter/wire.rs
+++ b/src/bin/hopwalk-adapter/wire.rs
@@ -4,8 +4,8 @@
 use std::io::{self, Write};
 use std::time::Duration;
 
+use hopwalk::interface::*;
 use serde::Deserialize;
-use topazwell::interface::*;
 
 /// What is wrong with a line.
 #[derive(Debug)]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of topazwell. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of hopwalk. Its types, events and actions are in `src/interface.rs`.
 //!
 //! One mechanism, after Eggert and Heidemann (1999): low-worth background requests are confined to a small
 //! pool of running slots while the server is pressed, foreground starts first, and all run under a limit
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! topazwell decides, inside one server of a fleet, what that server takes, runs and turns away.
+//! hopwalk decides, inside one server of a fleet, what that server takes, runs and turns away.
 //!
 //! All decisions are in [`brain`]; the types it speaks are in [`interface`].
 
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 const OPTIONS: &str = r#"{"servers": 3, "profiles": [{"promise_us": 1000000, "give_up_us": 4000000, "repeat": "idempotent", "worth": 1.0}], "rules": {"answer_slack_us": 60000, "drain_grace_us": 1000000, "fall_multiple": 8.0, "tip_after_us": 2000000}, "specifics": {"cores": 2, "memory_kb": 100000.0, "run_factor": 8.0, "later_key": 1}, "new_part": {}}"#;
 
 fn play(transcript: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_topazwell-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hopwalk-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,10 +1,10 @@
 //! Feeds scripted events to the module and keeps what it did.
 #![allow(dead_code)]
 
+use hopwalk::interface::*;
+use hopwalk::Brain;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use topazwell::interface::*;
-use topazwell::Brain;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::{keyed_settings, ms};
+use hopwalk::interface::*;
+use hopwalk::Brain;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use topazwell::interface::*;
-use topazwell::Brain;
 
 struct Dice(u64);
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use topazwell::interface::*;
+use hopwalk::interface::*;
 
 #[test]
 fn held_work_is_answered_at_its_due_time() {
@@ -171,7 +171,7 @@
 fn unusable_settings_are_a_typed_error() {
     let mut s = settings();
     s.cores = 0;
-    assert_eq!(topazwell::Brain::new(s, 1, ms(0)).err(), Some(SettingsError::NoCores));
+    assert_eq!(hopwalk::Brain::new(s, 1, ms(0)).err(), Some(SettingsError::NoCores));
 }
 
 #[test]
--- a/tests/small.rs
+++ b/tests/small.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use topazwell::interface::*;
+use hopwalk::interface::*;
 
 fn small() -> Settings {
     let mut s = settings();
