--- a/src/bin/hopwalk-adapter/wire.rs
+++ b/src/bin/hopwalk-adapter/wire.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hopwalk::interface::*;
-use serde::Deserialize;
+use hopwalk::settings::Site;
 
 /// What is wrong with a line.
 #[derive(Debug)]
@@ -139,10 +139,9 @@
     let event = match name {
         "configure" => {
             let options = p.pairs.get("options").ok_or_else(|| p.bad("options", "is missing"))?;
-            let options: Options = serde_json::from_str(options)
-                .map_err(|e| p.bad("options", &format!("cannot be used: {e}")))?;
+            let site = Site::parse(options).map_err(|e| p.bad("options", &format!("cannot be used: {e}")))?;
             let seed = p.get("prng")?.unwrap_or(0);
-            return Ok(Message::Configure { who, seed, settings: Box::new(options.settings()) });
+            return Ok(Message::Configure { who, seed, settings: Box::new(site.settings) });
         }
         "down" => return Ok(Message::Down { who }),
         "submit" => Event::Arrived(Arrival {
@@ -209,183 +208,3 @@
         Action::Log(text) => writeln!(out, "emit who={who} msg={text}"),
     }
 }
-
-/// The start-up settings as the wire words them. Absent optional parts take the wire's meaning of absence.
-#[derive(Deserialize)]
-struct Options {
-    servers: u32,
-    #[serde(default)]
-    tier: u32,
-    profiles: Vec<Profile>,
-    #[serde(default)]
-    tenants: Vec<Party>,
-    #[serde(default)]
-    over_share_worth: Option<f64>,
-    #[serde(default)]
-    counted_by: String,
-    #[serde(default)]
-    clients: Clients,
-    #[serde(default)]
-    prices: Prices,
-    #[serde(default)]
-    limits: Limits,
-    rules: Rules,
-    specifics: Specifics,
-}
-
-#[derive(Deserialize)]
-struct Profile {
-    promise_us: u64,
-    #[serde(default)]
-    aim_stretch: f64,
-    give_up_us: u64,
-    repeat: String,
-    #[serde(default)]
-    memory_span_us: u64,
-    worth: f64,
-    #[serde(default)]
-    late_value: f64,
-}
-
-#[derive(Deserialize)]
-struct Party {
-    #[serde(default)]
-    quota_per_s: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Prices {
-    handshake: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Clients {
-    marks_retry: bool,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct Limits {
-    max_retry_after_us: u64,
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-struct Rules {
-    answer_slack_us: u64,
-    #[serde(default)]
-    cold_from: f64,
-    #[serde(default)]
-    cold_us: u64,
-    drain_grace_us: u64,
-    fall_multiple: f64,
-    tip_after_us: u64,
-}
-
-#[derive(Deserialize)]
-struct Specifics {
-    cores: u32,
-    memory_kb: f64,
-    run_factor: f64,
-    #[serde(default)]
-    kb_per_key: f64,
-    #[serde(default)]
-    senders: u32,
-    #[serde(default)]
-    idle_us: u64,
-    #[serde(default)]
-    cold: bool,
-    #[serde(default)]
-    below: String,
-    #[serde(default)]
-    calls_out: f64,
-    #[serde(default)]
-    share_span_us: u64,
-    #[serde(default)]
-    lingers_us: u64,
-    #[serde(default)]
-    class_calls: Vec<bool>,
-    #[serde(default)]
-    worth_without: Vec<f64>,
-    #[serde(default)]
-    fresh_us: u64,
-    #[serde(default)]
-    preemption: String,
-    #[serde(default)]
-    say: String,
-    #[serde(default)]
-    heeded_us: u64,
-    #[serde(default)]
-    readiness: bool,
-}
-
-impl Options {
-    fn settings(self) -> Settings {
-        let us = Duration::from_micros;
-        let sp = self.specifics;
-        let class = |(at, p): (usize, Profile)| Class {
-            wanted: us(p.promise_us),
-            wanted_stretch: p.aim_stretch,
-            give_up: us(p.give_up_us),
-            repeat: match p.repeat.as_str() {
-                "idempotent" => Repeat::Idempotent,
-                "deduplicated" => Repeat::Deduplicated,
-                _ => Repeat::AtMostOnce,
-            },
-            window: us(p.memory_span_us),
-            worth: p.worth,
-            late_value: p.late_value,
-            calls: sp.class_calls.get(at).copied().unwrap_or(false),
-            skip_worth: sp.worth_without.get(at).copied().unwrap_or(0.0),
-        };
-        Settings {
-            classes: self.profiles.into_iter().enumerate().map(class).collect(),
-            cores: sp.cores,
-            memory_kb: sp.memory_kb,
-            run_factor: sp.run_factor,
-            key_kb: sp.kb_per_key,
-            servers: self.servers,
-            entry: self.tier == 0,
-            callers: sp.senders,
-            idle_for: us(sp.idle_us),
-            cold: sp.cold,
-            cold_from: self.rules.cold_from,
-            cold_for: us(self.rules.cold_us),
-            tenants: self.tenants.into_iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-            over_share_worth: self.over_share_worth.unwrap_or(1.0),
-            worth_by_work: self.counted_by == "work",
-            preemption: match sp.preemption.as_str() {
-                "drop" => Preemption::Drop,
-                "pause" => Preemption::Pause,
-                _ => Preemption::Off,
-            },
-            below: match sp.below.as_str() {
-                "common" => Below::Shared,
-                "next_hop" => Below::Tier,
-                _ => Below::Off,
-            },
-            call_share: sp.calls_out,
-            call_span: us(sp.share_span_us),
-            call_linger: us(sp.lingers_us),
-            fresh_for: us(sp.fresh_us),
-            signal: match sp.say.as_str() {
-                "min_rank" => Signal::MinRank,
-                "tokens" => Signal::Tokens,
-                "bias" => Signal::Bias,
-                _ => Signal::Off,
-            },
-            signal_lifetime: us(sp.heeded_us),
-            connect_price: self.prices.handshake,
-            marks_retries: self.clients.marks_retry,
-            advice: self.limits.retry_after,
-            advice_max: us(self.limits.max_retry_after_us),
-            readiness: sp.readiness,
-            answer_slack: us(self.rules.answer_slack_us),
-            drain_grace: us(self.rules.drain_grace_us),
-            crowd_per_core: self.rules.fall_multiple,
-            crowd_span: us(self.rules.tip_after_us),
-        }
-    }
-}
--- /dev/null
+++ b/src/core/counters.rs
@@ -0,0 +1,94 @@
+//! What is counted.
+
+use std::fmt;
+
+use super::End;
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counters {
+    /// Requests read.
+    pub taken_in: u64,
+    /// Health checks read.
+    pub checks: u64,
+    /// Input that is no request, or none that can be taken.
+    pub rejected: u64,
+    /// Requests that repeat one with the same key.
+    pub repeats: u64,
+    /// Requests answered with a result.
+    pub served: u64,
+    /// Of these, with the result of another try.
+    pub joined: u64,
+    /// Requests turned away.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Requests that only the core's own timer answered.
+    pub overdue: u64,
+    /// Runs begun.
+    pub launched: u64,
+    /// Second runs of a key that the core did not let happen.
+    pub second_runs_barred: u64,
+    /// Calls made below.
+    pub calls_made: u64,
+    /// Calls left out.
+    pub calls_skipped: u64,
+    /// Links to the agent that broke.
+    pub links_lost: u64,
+    /// Commands that the agent did not carry out.
+    pub agent_refusals: u64,
+    /// Gauges that came too late for their timer.
+    pub late_samples: u64,
+    runs: [u64; End::ALL.len()],
+    calls: [u64; End::ALL.len()],
+    unsent: [u64; End::ALL.len()],
+}
+
+impl Counters {
+    pub(super) fn ended(&mut self, end: End) {
+        self.runs[end as usize] += 1;
+    }
+
+    pub(super) fn call_ended(&mut self, end: End) {
+        self.calls[end as usize] += 1;
+    }
+
+    pub(super) fn unsent(&mut self, end: End) {
+        self.unsent[end as usize] += 1;
+    }
+
+    /// All counts by name, those by kind of end only where they are not zero.
+    pub fn list(&self) -> Vec<(String, u64)> {
+        let plain = [
+            ("taken_in", self.taken_in),
+            ("checks", self.checks),
+            ("rejected", self.rejected),
+            ("repeats", self.repeats),
+            ("served", self.served),
+            ("joined", self.joined),
+            ("refused", self.refused),
+            ("failed", self.failed),
+            ("overdue", self.overdue),
+            ("launched", self.launched),
+            ("second_runs_barred", self.second_runs_barred),
+            ("calls_made", self.calls_made),
+            ("calls_skipped", self.calls_skipped),
+            ("links_lost", self.links_lost),
+            ("agent_refusals", self.agent_refusals),
+            ("late_samples", self.late_samples),
+        ];
+        let mut list: Vec<_> = plain.into_iter().map(|(name, n)| (name.to_string(), n)).collect();
+        for (name, counts) in [("run", &self.runs), ("call", &self.calls), ("unsent", &self.unsent)] {
+            let some = End::ALL.iter().filter(|end| counts[**end as usize] > 0);
+            list.extend(some.map(|end| (format!("{name}_{}", end.word()), counts[*end as usize])));
+        }
+        list
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let list: Vec<_> = self.list().into_iter().map(|(name, n)| format!("{name}={n}")).collect();
+        f.write_str(&list.join(" "))
+    }
+}
--- /dev/null
+++ b/src/core/keys.rs
@@ -0,0 +1,151 @@
+//! The table of keys: which try of a keyed request stands for it, which one ran, and what came of it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::types::{Bytes, Key};
+use crate::interface::RequestId;
+
+/// Keys remembered at most; beyond that, requests with new keys are turned away.
+const MOST_KEYS: usize = 50_000;
+/// Bytes of results kept at most; beyond that the oldest are dropped, but never their keys.
+const MOST_RESULT_BYTES: usize = 16 << 20;
+/// A key whose run may have had its effect stays this much longer than its window.
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// A try that was run.
+#[derive(Debug)]
+struct Ran {
+    id: RequestId,
+    /// End of the time in which no other try may be run.
+    until: Duration,
+    result: Option<Bytes>,
+}
+
+/// A try that is still here.
+#[derive(Debug)]
+struct Try {
+    id: RequestId,
+    /// When it reached the machine, and the end of the window that its run would open.
+    start: Duration,
+    until: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    /// The try that stands for the key, and for how long.
+    holder: Option<(RequestId, Duration)>,
+    /// Tries that are still here.
+    tries: Vec<Try>,
+    ran: Option<Ran>,
+}
+
+/// All remembered keys.
+#[derive(Debug, Default)]
+pub(super) struct Keys {
+    entries: HashMap<Key, Entry>,
+    result_bytes: usize,
+}
+
+impl Keys {
+    pub(super) fn has_room_for(&self, key: &Key) -> bool {
+        self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
+    }
+
+    /// Notes a try that reached the machine at `start`, and names the one that it repeats.
+    pub(super) fn arrived(
+        &mut self,
+        key: &Key,
+        id: RequestId,
+        start: Duration,
+        window: Duration,
+    ) -> Option<RequestId> {
+        let e = self.entries.entry(key.clone()).or_default();
+        let ran = e.ran.as_ref().filter(|r| start <= r.until).map(|r| r.id);
+        let holder = e.holder.filter(|(_, until)| start <= *until).map(|(id, _)| id);
+        // Tries that arrive together see each other even before one of them is kept.
+        let other = e.tries.last().map(|t| t.id);
+        e.tries.push(Try { id, start, until: start + window + MARGIN });
+        ran.or(holder).or(other)
+    }
+
+    pub(super) fn remember(&mut self, key: &Key, id: RequestId, until: Duration) {
+        if let Some(e) = self.entries.get_mut(key) {
+            e.holder = Some((id, until));
+        }
+    }
+
+    /// Frees an entry, unless its run may have had its effect.
+    pub(super) fn forget(&mut self, key: &Key, id: RequestId) {
+        if let Some(e) = self.entries.get_mut(key) {
+            e.holder = e.holder.filter(|(holder, _)| *holder != id);
+        }
+    }
+
+    /// Notes that a try is run now; false where another one has been, and this one came within its window.
+    pub(super) fn start(&mut self, key: &Key, id: RequestId) -> bool {
+        let Some(e) = self.entries.get_mut(key) else { return false };
+        let Some(&Try { start, until, .. }) = e.tries.iter().find(|t| t.id == id) else { return false };
+        if e.ran.as_ref().is_some_and(|r| r.id == id || start <= r.until) {
+            return false;
+        }
+        let before = e.ran.replace(Ran { id, until, result: None });
+        self.result_bytes -= before.and_then(|r| r.result).map_or(0, |r| r.len());
+        true
+    }
+
+    pub(super) fn ended(&mut self, key: &Key, id: RequestId, result: Option<Bytes>) {
+        let Some(ran) = self.entries.get_mut(key).and_then(|e| e.ran.as_mut()).filter(|r| r.id == id) else {
+            return;
+        };
+        self.result_bytes += result.as_ref().map_or(0, |r| r.len());
+        ran.result = result;
+        if self.result_bytes > MOST_RESULT_BYTES {
+            self.drop_results();
+        }
+    }
+
+    /// A try is answered and over.
+    pub(super) fn left(&mut self, key: &Key, id: RequestId) {
+        let Some(e) = self.entries.get_mut(key) else { return };
+        e.tries.retain(|t| t.id != id);
+        if e.ran.is_none() {
+            e.holder = e.holder.filter(|(holder, _)| *holder != id);
+            if e.tries.is_empty() && e.holder.is_none() {
+                self.entries.remove(key);
+            }
+        }
+    }
+
+    pub(super) fn ran(&self, key: &Key) -> Option<RequestId> {
+        self.entries.get(key)?.ran.as_ref().map(|r| r.id)
+    }
+
+    pub(super) fn result(&self, key: &Key) -> Option<Bytes> {
+        self.entries.get(key)?.ran.as_ref()?.result.clone()
+    }
+
+    /// Forgets what nothing can repeat any more.
+    pub(super) fn sweep(&mut self, now: Duration) {
+        let freed = &mut self.result_bytes;
+        self.entries.retain(|_, e| {
+            let ran = e.ran.as_ref().is_some_and(|r| now <= r.until);
+            let keep = ran || !e.tries.is_empty();
+            if !keep {
+                *freed -= e.ran.as_ref().and_then(|r| r.result.as_ref()).map_or(0, |r| r.len());
+            }
+            keep
+        });
+    }
+
+    /// Drops the older half of the results.
+    fn drop_results(&mut self) {
+        let mut with: Vec<_> =
+            self.entries.values_mut().filter_map(|e| e.ran.as_mut()).filter(|r| r.result.is_some()).collect();
+        with.sort_by_key(|r| r.until);
+        let half = with.len().div_ceil(2);
+        for ran in with.into_iter().take(half) {
+            self.result_bytes -= ran.result.take().map_or(0, |r| r.len());
+        }
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,656 @@
+//! The core: one reducer that owns all state and knows no wire, no socket and no clock.
+//!
+//! [`Core::step`] takes what happened and returns what is to be done. It alone drives the decision module:
+//! inputs become the module's events, the module's actions become effects. Times are [`Duration`]s since the
+//! Unix epoch on a clock that only goes forward, which the caller brings along.
+
+mod counters;
+mod end;
+mod keys;
+mod types;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::brain::Brain;
+use crate::interface::{Action, Arrival, Event, Gauges, Outcome, Preemption, Repeat, RequestId};
+use crate::settings::Site;
+
+pub use counters::Counters;
+pub use end::End;
+use keys::Keys;
+pub use types::*;
+
+/// A request that nothing else answered is failed this long after its due time: late enough to leave the
+/// answer to the module, and well within the slack that the rules allow.
+const OVERDUE: Duration = Duration::from_millis(20);
+/// A call that the vault has not ended is given up this long after its time.
+const CALL_OVERDUE: Duration = Duration::from_millis(30);
+/// Gauges that were asked for are waited for this long; the module's clockwork must not stop without them.
+const SAMPLE_PATIENCE: Duration = Duration::from_millis(20);
+/// Gauges older than this are no longer passed on.
+const SAMPLE_LIFETIME: Duration = Duration::from_millis(500);
+/// Time between two looks for keys that can be forgotten.
+const SWEEP: Duration = Duration::from_secs(1);
+/// This long after its due time a run of an answered request is taken to be lost.
+const RUN_LOST: Duration = Duration::from_secs(60);
+
+/// Something that the reducer is to be woken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    SampleLate(u64),
+    Due(RequestId),
+    CallLate(RequestId, u32),
+    RunLost(RequestId),
+    Sweep,
+    DrainGrace,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Held,
+    Running,
+    Paused,
+    AtCall,
+    Joined,
+}
+
+/// A request whose answer or run is still open.
+#[derive(Debug)]
+struct Live {
+    /// Where the answer goes; none once it was given.
+    conn: Option<ConnId>,
+    handle: Handle,
+    class: usize,
+    key: Option<Key>,
+    due: Duration,
+    body: Bytes,
+    phase: Phase,
+    repeats: Option<RequestId>,
+    /// Requests that wait for this one's result.
+    waiters: Vec<RequestId>,
+    began: Duration,
+    /// The notice that asks for the call, its body, and the number of the last try of it.
+    call: (u64, Bytes, u32),
+    call_began: Option<Duration>,
+    /// The last word to the agent about this run, until a notice shows that it was heard.
+    unheard: Option<Command>,
+}
+
+/// The reducer's state.
+pub struct Core {
+    brain: Brain,
+    site: Site,
+    seed: u64,
+    stop_after: Duration,
+    next_id: RequestId,
+    live: HashMap<RequestId, Live>,
+    handles: HashMap<Handle, RequestId>,
+    keys: Keys,
+    timers: BinaryHeap<Reverse<(Duration, Timer)>>,
+    /// Events that carrying out actions gave rise to.
+    events: VecDeque<Event>,
+    /// The ticket of the gauges last asked for, and the timer tokens that wait for them.
+    ticket: u64,
+    waiting_ticks: Vec<u64>,
+    gauges: (Duration, Gauges),
+    greeted: bool,
+    link_up: bool,
+    healthy: bool,
+    signal: Option<f64>,
+    open: usize,
+    drain: Option<Duration>,
+    grace_over: bool,
+    left: bool,
+    counters: Counters,
+    effects: Vec<Effect>,
+}
+
+impl Core {
+    /// A core that knows only its configuration.
+    pub fn new(site: Site, seed: u64, stop_after: Duration, now: Duration) -> Result<Self, String> {
+        let brain = Brain::new(site.settings.clone(), seed, now).map_err(|e| e.to_string())?;
+        let mut core = Self {
+            brain,
+            site,
+            seed,
+            stop_after,
+            next_id: 1,
+            live: HashMap::new(),
+            handles: HashMap::new(),
+            keys: Keys::default(),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            ticket: 0,
+            waiting_ticks: Vec::new(),
+            gauges: (Duration::ZERO, Gauges::default()),
+            greeted: false,
+            link_up: false,
+            healthy: true,
+            signal: None,
+            open: 0,
+            drain: None,
+            grace_over: false,
+            left: false,
+            counters: Counters::default(),
+            effects: Vec::new(),
+        };
+        core.arm(now + SWEEP, Timer::Sweep);
+        Ok(core)
+    }
+
+    /// When [`Core::step`] wants to be called again even if nothing happens.
+    pub fn next_timer(&self) -> Option<Duration> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// What was counted so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Takes all that happened, decides once, and returns what is to be done, in order.
+    pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>) -> Vec<Effect> {
+        let mut actions = Vec::new();
+        for input in inputs {
+            self.take(now, input, &mut actions);
+            self.settle_events(now, &mut actions);
+        }
+        while self.next_timer().is_some_and(|at| at <= now) {
+            let Some(Reverse((_, timer))) = self.timers.pop() else { break };
+            self.fire(now, timer, &mut actions);
+            self.settle_events(now, &mut actions);
+        }
+        self.brain.decide(now, &mut actions);
+        self.settle_events(now, &mut actions);
+        self.leave_when_done();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn arm(&mut self, at: Duration, timer: Timer) {
+        self.timers.push(Reverse((at, timer)));
+    }
+
+    /// Carries out actions, and hands the module the events that they cause, until none is left.
+    fn settle_events(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        loop {
+            for action in std::mem::take(actions) {
+                self.act(now, action);
+            }
+            let Some(event) = self.events.pop_front() else { return };
+            self.brain.on_event(now, event, actions);
+        }
+    }
+
+    // ---- Inputs -------------------------------------------------------------------------------------
+
+    fn take(&mut self, now: Duration, input: Input, actions: &mut Vec<Action>) {
+        match input {
+            Input::Request(request) => self.arrived(now, *request),
+            Input::Check { conn, .. } => {
+                self.counters.checks += 1;
+                let verdict = if self.healthy { Verdict::Healthy } else { Verdict::Unhealthy };
+                self.answer(conn, verdict);
+            }
+            Input::Rejected => self.counters.rejected += 1,
+            Input::Unsent(end) => self.counters.unsent(end),
+            Input::Agent(notice) => self.agent(now, notice),
+            Input::CallEnded { handle, attempt, end, reply } => {
+                self.call_ended(now, handle, attempt, end, reply);
+            }
+            Input::Drain => self.drain(now),
+        }
+        if !self.events.is_empty() {
+            self.settle_events(now, actions);
+        }
+    }
+
+    fn arrived(&mut self, now: Duration, request: Request) {
+        self.counters.taken_in += 1;
+        let class = self.site.class_names.iter().position(|name| *name == request.class);
+        let Some(class) = class else {
+            return self.turn_back(request.conn, Verdict::NoSuchClass);
+        };
+        let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
+        if keyed && request.key.is_none() {
+            return self.turn_back(request.conn, Verdict::Invalid("this class needs an Idempotency-Key"));
+        }
+        // A handle names one run at the agent: taking it twice could hand one request the other's result.
+        if self.handles.contains_key(&request.handle) {
+            return self.turn_back(request.conn, Verdict::Invalid("this X-Request-Id is in use"));
+        }
+        let key = request.key.filter(|_| keyed);
+        let start = request.start.min(now);
+        let patience = request.patience.unwrap_or(self.site.settings.classes[class].give_up);
+        let due = start + patience;
+        let id = self.next_id;
+        if key.as_ref().is_some_and(|k| !self.keys.has_room_for(k)) {
+            self.counters.refused += 1;
+            let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
+            return self.answer(request.conn, refusal);
+        }
+        self.next_id = self.next_id.wrapping_add(1).max(1);
+        let window = self.site.settings.classes[class].window;
+        let repeats = key.as_ref().and_then(|k| self.keys.arrived(k, id, start, window));
+        self.counters.repeats += u64::from(repeats.is_some());
+        self.handles.insert(request.handle, id);
+        self.open += 1;
+        let live = Live {
+            conn: Some(request.conn),
+            handle: request.handle,
+            class,
+            key,
+            due,
+            body: request.body,
+            phase: Phase::Held,
+            repeats,
+            waiters: Vec::new(),
+            began: now,
+            call: (0, Bytes::from([]), 0),
+            call_began: None,
+            unheard: None,
+        };
+        self.live.insert(id, live);
+        self.arm(due + OVERDUE, Timer::Due(id));
+        self.events.push_back(Event::Arrived(Arrival {
+            id,
+            class,
+            tenant: 0,
+            keyed: request.object,
+            due: Some(due),
+            hint: None,
+            size_kb: request.size_kb,
+            standing: request.rank,
+            caller: request.caller,
+            age: now.saturating_sub(start),
+            repeats,
+            marked_retry: false,
+        }));
+    }
+
+    fn turn_back(&mut self, conn: ConnId, verdict: Verdict) {
+        self.counters.rejected += 1;
+        self.answer(conn, verdict);
+    }
+
+    fn agent(&mut self, now: Duration, notice: Notice) {
+        match notice {
+            Notice::Greeting { cold, lasted } => {
+                self.link_up = true;
+                // The module's life begins with the agent's: it is told then how warm the machine is.
+                if !std::mem::replace(&mut self.greeted, true) && self.live.is_empty() && self.drain.is_none()
+                {
+                    let mut settings = self.site.settings.clone();
+                    settings.cold = cold;
+                    if let Ok(brain) = Brain::new(settings, self.seed, now.saturating_sub(lasted)) {
+                        self.brain = brain;
+                        self.waiting_ticks.clear();
+                        self.timers.retain(|Reverse((_, t))| !matches!(t, Timer::Module(_)));
+                    }
+                }
+                // Everything told since the last link comes before the answer to this.
+                self.effects.push(Effect::Agent(Command::Sync));
+            }
+            Notice::Lost(_) => {
+                self.link_up = false;
+                self.counters.links_lost += 1;
+            }
+            Notice::Synced => self.say_again(),
+            Notice::Sampled { ticket, figures } => {
+                let mut gauges = Gauges::default();
+                for (name, figure) in self.site.gauges.iter().zip(figures) {
+                    match name.as_str() {
+                        "core_use" => gauges.core_use = Some(figure),
+                        "on_cores" => gauges.on_cores = Some(figure),
+                        "heap_share" => gauges.memory_use = Some(figure),
+                        "links" => gauges.connections = Some(figure),
+                        _ => {}
+                    }
+                }
+                self.gauges = (now, gauges);
+                if ticket == self.ticket {
+                    self.tick();
+                }
+            }
+            Notice::Outcome { handle, end, lasted, result } => {
+                let Some(&id) = self.handles.get(&handle) else { return };
+                self.run_ended(now, id, end, lasted, result);
+            }
+            Notice::CallNeeded { handle, cursor, body } => {
+                let Some(&id) = self.handles.get(&handle) else { return };
+                let Some(live) = self.live.get_mut(&id) else { return };
+                live.unheard = None;
+                live.phase = Phase::AtCall;
+                live.call = (cursor, body, live.call.2);
+                self.events.push_back(Event::CallNeeded { id });
+            }
+            Notice::Refusal { command, handle } => {
+                self.counters.agent_refusals += 1;
+                let Some(&id) = self.handles.get(&handle) else { return };
+                // Only a refused launch ends a run: it proves that none began.
+                if command == "launch" && self.live.get(&id).is_some_and(|l| l.phase == Phase::Running) {
+                    self.run_ended(now, id, End::Unknown, None, None);
+                }
+            }
+        }
+    }
+
+    /// After a link broke, nobody knows which of the last commands arrived. Repeating them does no harm to
+    /// what may run again. A launch that carries a key is not repeated: its run could have ended just now,
+    /// unseen, and must not have its effect twice; its caller gets a failure when it is due.
+    fn say_again(&mut self) {
+        let mut again: Vec<_> = self
+            .live
+            .iter()
+            .filter(|(_, l)| !matches!(l.unheard, Some(Command::Launch { .. })) || l.key.is_none())
+            .filter_map(|(id, l)| Some((*id, l.unheard.clone()?)))
+            .collect();
+        again.sort_by_key(|(id, _)| *id);
+        self.effects.extend(again.into_iter().map(|(_, command)| Effect::Agent(command)));
+    }
+
+    fn run_ended(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        end: End,
+        lasted: Option<Duration>,
+        result: Option<Bytes>,
+    ) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        if matches!(live.phase, Phase::Held | Phase::Joined) {
+            return; // Not running as far as we know: nothing of ours ended.
+        }
+        let outcome = end.outcome();
+        let took = lasted.unwrap_or(now.saturating_sub(live.began));
+        let served = result.filter(|_| outcome == Outcome::Done);
+        self.counters.ended(end);
+        if let Some(key) = live.key.clone() {
+            self.keys.ended(&key, id, served.clone());
+        }
+        self.give_up_call(id);
+        let verdict = served.clone().map_or(Verdict::Failed, Verdict::Served);
+        self.settle(id, verdict);
+        self.events.push_back(Event::Finished { id, outcome, took });
+        self.remove(now, id, served);
+    }
+
+    /// Takes a request out, and answers those that waited for its result.
+    fn remove(&mut self, now: Duration, id: RequestId, result: Option<Bytes>) {
+        let Some(live) = self.live.remove(&id) else { return };
+        self.handles.remove(&live.handle);
+        if let Some(key) = &live.key {
+            self.keys.left(key, id);
+        }
+        for waiter in live.waiters {
+            self.end_join(now, waiter, result.clone());
+        }
+    }
+
+    fn end_join(&mut self, now: Duration, id: RequestId, result: Option<Bytes>) {
+        let Some(live) = self.live.get(&id).filter(|l| l.phase == Phase::Joined) else { return };
+        let took = now.saturating_sub(live.began);
+        let outcome = if result.is_some() { Outcome::Done } else { Outcome::Error };
+        self.counters.joined += u64::from(result.is_some());
+        self.settle(id, result.map_or(Verdict::Failed, Verdict::Served));
+        self.events.push_back(Event::Finished { id, outcome, took });
+        self.remove(now, id, None);
+    }
+
+    fn call_ended(&mut self, now: Duration, handle: Handle, attempt: u32, end: End, reply: Option<Bytes>) {
+        let Some(&id) = self.handles.get(&handle) else { return };
+        let Some(live) = self.live.get_mut(&id).filter(|l| l.call.2 == attempt) else { return };
+        let Some(began) = live.call_began.take() else { return };
+        self.counters.call_ended(end);
+        let outcome = match (end.outcome(), reply) {
+            (Outcome::Done, Some(arg)) => {
+                live.phase = Phase::Running;
+                let command = Command::Deliver { handle, arg };
+                live.unheard = Some(command.clone());
+                self.effects.push(Effect::Agent(command));
+                Outcome::Done
+            }
+            (Outcome::Done, None) => Outcome::Error,
+            (outcome, _) => outcome,
+        };
+        self.events.push_back(Event::CallEnded { id, outcome, took: now.saturating_sub(began) });
+    }
+
+    fn drain(&mut self, now: Duration) {
+        if self.drain.replace(now).is_some() {
+            return;
+        }
+        let grace = self.site.settings.drain_grace;
+        self.arm(now + grace, Timer::DrainGrace);
+        self.effects.push(Effect::Draining);
+        self.events.push_back(Event::Retire { stop_at: now + self.stop_after });
+    }
+
+    /// Leaves once the grace is over and all that was read is answered.
+    fn leave_when_done(&mut self) {
+        if self.grace_over && self.open == 0 && !std::mem::replace(&mut self.left, true) {
+            self.effects.push(Effect::Leave);
+        }
+    }
+
+    // ---- Timers -------------------------------------------------------------------------------------
+
+    fn fire(&mut self, now: Duration, timer: Timer, actions: &mut Vec<Action>) {
+        match timer {
+            Timer::Module(token) => {
+                self.waiting_ticks.push(token);
+                self.ticket += 1;
+                if self.link_up {
+                    self.effects.push(Effect::Agent(Command::Sample { ticket: self.ticket }));
+                    self.arm(now + SAMPLE_PATIENCE, Timer::SampleLate(self.ticket));
+                } else {
+                    self.tick();
+                }
+            }
+            Timer::SampleLate(ticket) => {
+                if ticket == self.ticket && !self.waiting_ticks.is_empty() {
+                    self.counters.late_samples += 1;
+                    if now.saturating_sub(self.gauges.0) > SAMPLE_LIFETIME {
+                        self.gauges.1 = Gauges::default();
+                    }
+                    self.tick();
+                }
+            }
+            Timer::Due(id) => {
+                // The module answers in time; this guards the rule should it not.
+                if self.live.get(&id).is_some_and(|l| l.conn.is_some()) {
+                    self.counters.overdue += 1;
+                    self.events.push_back(Event::Withdrawn { id });
+                    self.fail(now, id);
+                }
+            }
+            Timer::CallLate(id, attempt) => {
+                if let Some(l) = self.live.get(&id).filter(|l| l.call.2 == attempt && l.call_began.is_some())
+                {
+                    let handle = l.handle;
+                    self.effects.push(Effect::Uncall { handle });
+                    self.call_ended(now, handle, attempt, End::Overdue, None);
+                }
+            }
+            Timer::RunLost(id) => {
+                if self.live.get(&id).is_some_and(|l| l.conn.is_none()) {
+                    self.run_ended(now, id, End::Broken, None, None);
+                }
+            }
+            Timer::Sweep => {
+                self.keys.sweep(now);
+                self.arm(now + SWEEP, Timer::Sweep);
+            }
+            Timer::DrainGrace => {
+                self.grace_over = true;
+                self.effects.push(Effect::StopListening);
+            }
+        }
+        self.settle_events(now, actions);
+    }
+
+    /// Hands the module its timers, with the gauges as they are.
+    fn tick(&mut self) {
+        let gauges = self.gauges.1;
+        let tokens = self.waiting_ticks.drain(..);
+        self.events.extend(tokens.map(|token| Event::Timer { token, gauges }));
+    }
+
+    // ---- Actions ------------------------------------------------------------------------------------
+
+    fn act(&mut self, now: Duration, action: Action) {
+        match action {
+            Action::Start(id) => self.start(now, id),
+            Action::Refuse { id, retry_after, no_retry } => self.refuse(now, id, retry_after, no_retry),
+            Action::Fail(id) => self.fail(now, id),
+            Action::Preempt(id) => self.preempt(id),
+            Action::Call { id, give_up_after } => self.call(now, id, give_up_after),
+            Action::SkipCall(id) => {
+                let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::AtCall) else { return };
+                live.phase = Phase::Running;
+                let command = Command::Forgo { handle: live.handle, cursor: live.call.0 };
+                live.unheard = Some(command.clone());
+                self.counters.calls_skipped += 1;
+                self.effects.push(Effect::Agent(command));
+            }
+            Action::Join(id) => self.join(now, id),
+            Action::Remember { id, lifetime } => {
+                if let Some(key) = self.live.get(&id).and_then(|l| l.key.as_ref()) {
+                    self.keys.remember(key, id, now + lifetime);
+                }
+            }
+            Action::Forget(id) => {
+                if let Some(key) = self.live.get(&id).and_then(|l| l.key.as_ref()) {
+                    self.keys.forget(key, id);
+                }
+            }
+            Action::Health { good } => self.healthy = good,
+            Action::Signal(value) => self.signal = Some(value),
+            Action::TrimIdle(after) => self.effects.push(Effect::TrimIdle(after)),
+            Action::SetTimer { token, after } => self.arm(now + after, Timer::Module(token)),
+            Action::Log(text) => self.effects.push(Effect::Log(text)),
+        }
+    }
+
+    fn start(&mut self, now: Duration, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let handle = live.handle;
+        let command = match live.phase {
+            Phase::Held => Command::Launch { handle, class: live.class, arg: live.body.clone() },
+            Phase::Paused => Command::Thaw { handle },
+            _ => return,
+        };
+        if live.phase == Phase::Held {
+            if let Some(key) = live.key.clone() {
+                // The rule is kept here too, whatever the module thinks: one run for a key and its window.
+                if !self.keys.start(&key, id) {
+                    self.counters.second_runs_barred += 1;
+                    self.events.push_back(Event::Finished {
+                        id,
+                        outcome: Outcome::Moot,
+                        took: Duration::ZERO,
+                    });
+                    self.settle(id, Verdict::Failed);
+                    return self.remove(now, id, None);
+                }
+            }
+            self.counters.launched += 1;
+        }
+        let Some(live) = self.live.get_mut(&id) else { return };
+        (live.phase, live.began) = (Phase::Running, now);
+        live.unheard = Some(command.clone());
+        let lost = live.due + RUN_LOST;
+        self.arm(lost, Timer::RunLost(id));
+        self.effects.push(Effect::Agent(command));
+    }
+
+    fn refuse(&mut self, now: Duration, id: RequestId, retry_after: Duration, no_retry: bool) {
+        let Some(live) = self.live.get(&id) else { return };
+        match live.phase {
+            Phase::Held | Phase::Joined => {
+                self.settle(id, Verdict::Refused { retry_after, no_retry });
+                self.remove(now, id, None);
+            }
+            // What has run is never turned away: the answer promises nothing instead.
+            _ => self.fail(now, id),
+        }
+    }
+
+    fn fail(&mut self, now: Duration, id: RequestId) {
+        self.settle(id, Verdict::Failed);
+        match self.live.get(&id).map(|l| l.phase) {
+            Some(Phase::Held | Phase::Joined) => self.remove(now, id, None),
+            Some(Phase::AtCall) => self.give_up_call(id),
+            _ => {}
+        }
+    }
+
+    fn preempt(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::Running) else { return };
+        if self.site.settings.preemption != Preemption::Off {
+            let command = Command::Freeze { handle: live.handle };
+            // An answered run that is stopped ends, and is not paused.
+            if live.conn.is_some() {
+                live.phase = Phase::Paused;
+                live.unheard = Some(command.clone());
+            }
+            self.effects.push(Effect::Agent(command));
+        }
+    }
+
+    fn call(&mut self, now: Duration, id: RequestId, give_up_after: Duration) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::AtCall) else { return };
+        live.call.2 += 1;
+        live.call_began = Some(now);
+        let (handle, attempt, body) = (live.handle, live.call.2, live.call.1.clone());
+        self.counters.calls_made += 1;
+        self.effects.push(Effect::Call { handle, attempt, patience: give_up_after, body });
+        self.arm(now + give_up_after + CALL_OVERDUE, Timer::CallLate(id, attempt));
+    }
+
+    fn give_up_call(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        if live.call_began.take().is_some() {
+            let handle = live.handle;
+            self.effects.push(Effect::Uncall { handle });
+        }
+    }
+
+    fn join(&mut self, now: Duration, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::Held) else { return };
+        (live.phase, live.began) = (Phase::Joined, now);
+        let (key, repeats) = (live.key.clone(), live.repeats);
+        // A newer try may have run in place of the one that was named.
+        let ran = key.as_ref().and_then(|k| self.keys.ran(k));
+        for target in [ran, repeats].into_iter().flatten().filter(|t| *t != id) {
+            if let Some(other) = self.live.get_mut(&target) {
+                return other.waiters.push(id);
+            }
+        }
+        let result = key.as_ref().and_then(|k| self.keys.result(k));
+        self.end_join(now, id, result);
+    }
+
+    // ---- Answers ------------------------------------------------------------------------------------
+
+    /// Gives a request its final answer, unless it has one.
+    fn settle(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(conn) = self.live.get_mut(&id).and_then(|l| l.conn.take()) else { return };
+        match &verdict {
+            Verdict::Served(_) => self.counters.served += 1,
+            Verdict::Refused { .. } => self.counters.refused += 1,
+            _ => self.counters.failed += 1,
+        }
+        self.open -= 1;
+        self.answer(conn, verdict);
+    }
+
+    fn answer(&mut self, conn: ConnId, verdict: Verdict) {
+        let answer = Answer { verdict, signal: self.signal, close: self.grace_over };
+        self.effects.push(Effect::Answer { conn, answer: Arc::new(answer) });
+    }
+}
--- /dev/null
+++ b/src/core/types.rs
@@ -0,0 +1,272 @@
+//! What goes into the reducer and what comes out of it.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::End;
+
+/// Bytes that are passed on unchanged.
+pub type Bytes = Arc<[u8]>;
+
+/// A connection of a caller, on whichever front.
+pub type ConnId = u64;
+
+/// The key of a request that must run once.
+pub type Key = Arc<str>;
+
+/// The 16 hexadecimal digits that name a try on every wire, kept as they came.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Handle([u8; 16]);
+
+impl FromStr for Handle {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let digits: [u8; 16] = text.as_bytes().try_into().map_err(|_| ())?;
+        digits.iter().all(u8::is_ascii_hexdigit).then_some(Self(digits)).ok_or(())
+    }
+}
+
+impl fmt::Display for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(std::str::from_utf8(&self.0).unwrap_or_default())
+    }
+}
+
+impl fmt::Debug for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A request as a front read it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Where its answer goes.
+    pub conn: ConnId,
+    /// Its name.
+    pub handle: Handle,
+    /// The name of its class.
+    pub class: String,
+    /// When it came to the machine.
+    pub start: Duration,
+    /// How long its caller waits from then on.
+    pub patience: Option<Duration>,
+    /// The number of its caller.
+    pub caller: u32,
+    /// Memory while held.
+    pub size_kb: f64,
+    /// Its rank in 0..1.
+    pub rank: f64,
+    /// The key that all its tries share.
+    pub key: Option<Key>,
+    /// It names what it is about.
+    pub object: bool,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request was read.
+    Request(Box<Request>),
+    /// A health check was read.
+    Check {
+        /// Where the answer goes.
+        conn: ConnId,
+        /// The caller wants to know whether work gets done.
+        deep: bool,
+    },
+    /// A front answered something that is no request by itself.
+    Rejected,
+    /// An answer could not be written whole.
+    Unsent(End),
+    /// The agent told something.
+    Agent(Notice),
+    /// A call below ended.
+    CallEnded {
+        /// The request it was made for.
+        handle: Handle,
+        /// Which of the request's calls.
+        attempt: u32,
+        /// How it ended.
+        end: End,
+        /// The reply, where it went well.
+        reply: Option<Bytes>,
+    },
+    /// The process is to leave.
+    Drain,
+}
+
+/// What the agent tells.
+#[derive(Clone, Debug)]
+pub enum Notice {
+    /// The agent is up and listens.
+    Greeting {
+        /// It started cold.
+        cold: bool,
+        /// It has been up for this long.
+        lasted: Duration,
+    },
+    /// The link broke.
+    Lost(End),
+    /// Everything told before [`Command::Sync`] was read.
+    Synced,
+    /// The gauges.
+    Sampled {
+        /// The ticket that asked for them.
+        ticket: u64,
+        /// In the order of the settings.
+        figures: Vec<f64>,
+    },
+    /// A run is over.
+    Outcome {
+        /// The request.
+        handle: Handle,
+        /// How it ended.
+        end: End,
+        /// How long it took.
+        lasted: Option<Duration>,
+        /// What it made.
+        result: Option<Bytes>,
+    },
+    /// A run waits for a call.
+    CallNeeded {
+        /// The request.
+        handle: Handle,
+        /// The number of this notice.
+        cursor: u64,
+        /// The body of the call.
+        body: Bytes,
+    },
+    /// A command was not carried out.
+    Refusal {
+        /// Which.
+        command: String,
+        /// The request.
+        handle: Handle,
+    },
+}
+
+/// What the agent is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Run a request.
+    Launch {
+        /// The request.
+        handle: Handle,
+        /// Its class, as an index.
+        class: usize,
+        /// Its body.
+        arg: Bytes,
+    },
+    /// Stop a run.
+    Freeze {
+        /// The request.
+        handle: Handle,
+    },
+    /// Go on with a paused run.
+    Thaw {
+        /// The request.
+        handle: Handle,
+    },
+    /// The reply to the call that a run waits for.
+    Deliver {
+        /// The request.
+        handle: Handle,
+        /// The reply.
+        arg: Bytes,
+    },
+    /// Go on without the call.
+    Forgo {
+        /// The request.
+        handle: Handle,
+        /// The notice that asked for the call.
+        cursor: u64,
+    },
+    /// Tell the gauges.
+    Sample {
+        /// Comes back with them.
+        ticket: u64,
+    },
+    /// Answer once everything before is told.
+    Sync,
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The result of the run.
+    Served(Bytes),
+    /// Turned away: it never ran.
+    Refused {
+        /// How long the caller should stay away; zero is no advice.
+        retry_after: Duration,
+        /// It should not try elsewhere.
+        no_retry: bool,
+    },
+    /// Failed; it may have had its effect.
+    Failed,
+    /// A good answer to a health check.
+    Healthy,
+    /// A bad one.
+    Unhealthy,
+    /// No such class is served here.
+    NoSuchClass,
+    /// The request cannot be taken as it is.
+    Invalid(&'static str),
+}
+
+/// An answer, the same on every front.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// What is told.
+    pub verdict: Verdict,
+    /// The free value.
+    pub signal: Option<f64>,
+    /// The connection is closed after it.
+    pub close: bool,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Answer a caller.
+    Answer {
+        /// Where.
+        conn: ConnId,
+        /// What.
+        answer: Arc<Answer>,
+    },
+    /// Tell the agent.
+    Agent(Command),
+    /// Make a call below.
+    Call {
+        /// The request it is for.
+        handle: Handle,
+        /// Which of the request's calls.
+        attempt: u32,
+        /// How long it is waited for.
+        patience: Duration,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Give up the call of a request.
+    Uncall {
+        /// The request.
+        handle: Handle,
+    },
+    /// Close connections idle for this long.
+    TrimIdle(Duration),
+    /// Tell callers and the control plane that this server leaves.
+    Draining,
+    /// Take no new connections.
+    StopListening,
+    /// All is answered: end once the connections are closed.
+    Leave,
+    /// A line for on-call.
+    Log(String),
+}
--- /dev/null
+++ b/src/net/fields.rs
@@ -0,0 +1,120 @@
+//! The fields of a request, which all fronts share, and what is wrong with input that is none.
+
+use std::time::Duration;
+
+use crate::core::{Bytes, Handle, Key, Request};
+
+/// The longest body of a request.
+pub const MOST_BODY: usize = 2048;
+/// The longest head of a request, on whichever front.
+pub const MOST_HEAD: usize = 8192;
+/// The longest key.
+const MOST_KEY: usize = 256;
+/// Memory that a request may book, in kilobytes.
+const MOST_SIZE_KB: f64 = 2000.0;
+/// The longest wait that a caller may state: an hour.
+const MOST_PATIENCE_MS: u64 = 3_600_000;
+
+/// Input that is answered with an error and a close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bad {
+    /// Its HTTP status.
+    pub status: u16,
+    /// What is wrong.
+    pub reason: &'static str,
+}
+
+impl Bad {
+    /// A request that cannot be read.
+    pub const fn request(reason: &'static str) -> Self {
+        Self { status: 400, reason }
+    }
+}
+
+/// What a front read.
+#[derive(Clone, Debug)]
+pub enum Parsed {
+    /// A request. Its connection is filled in by the front.
+    Request(Box<Request>),
+    /// A health check.
+    Check {
+        /// The caller wants to know whether work gets done.
+        deep: bool,
+    },
+}
+
+/// What a front read, and what comes after it.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// What it is.
+    pub parsed: Parsed,
+    /// Bytes that it took.
+    pub taken: usize,
+    /// The connection is closed after the answer.
+    pub close: bool,
+}
+
+/// The fields of a request, as they are read one by one.
+#[derive(Debug, Default)]
+pub struct Fields {
+    handle: Option<Handle>,
+    start: Option<Duration>,
+    patience: Option<Duration>,
+    caller: u32,
+    size_kb: f64,
+    rank: f64,
+    key: Option<Key>,
+    object: bool,
+}
+
+impl Fields {
+    /// Takes one field; `name` in any case. Names that are not known are passed over.
+    pub fn set(&mut self, name: &str, value: &str) -> Result<(), Bad> {
+        let value = value.trim();
+        let is = |known: &str| name.eq_ignore_ascii_case(known);
+        if is("x-request-id") {
+            self.handle =
+                Some(value.parse().map_err(|()| Bad::request("X-Request-Id is not 16 hex digits"))?);
+        } else if is("x-request-start") {
+            let ms: u64 = value.parse().map_err(|_| Bad::request("X-Request-Start is no time"))?;
+            self.start = Some(Duration::from_millis(ms));
+        } else if is("x-timeout-ms") {
+            let ms = value.parse().ok().filter(|ms| (1..=MOST_PATIENCE_MS).contains(ms));
+            let ms = ms.ok_or(Bad::request("X-Timeout-Ms is no usable time"))?;
+            self.patience = Some(Duration::from_millis(ms));
+        } else if is("x-caller") {
+            self.caller = value.parse().map_err(|_| Bad::request("X-Caller is no number"))?;
+        } else if is("x-memory-kb") {
+            let kb = value.parse().ok().filter(|kb| *kb > 0.0 && *kb < MOST_SIZE_KB);
+            self.size_kb = kb.ok_or(Bad::request("X-Memory-Kb is not above 0 and under 2000"))?;
+        } else if is("x-rank") {
+            let rank = value.parse().ok().filter(|rank| (0.0..1.0).contains(rank));
+            self.rank = rank.ok_or(Bad::request("X-Rank is not from 0 to under 1"))?;
+        } else if is("idempotency-key") {
+            if value.is_empty() || value.len() > MOST_KEY {
+                return Err(Bad::request("Idempotency-Key is empty or too long"));
+            }
+            self.key = Some(value.into());
+        } else if is("x-object") {
+            self.object = !value.is_empty();
+        }
+        Ok(())
+    }
+
+    /// The request, if all that it needs is there.
+    pub fn finish(self, class: &str, body: Bytes) -> Result<Request, Bad> {
+        Ok(Request {
+            conn: 0,
+            handle: self.handle.ok_or(Bad::request("X-Request-Id is missing"))?,
+            class: class.to_string(),
+            start: self.start.ok_or(Bad::request("X-Request-Start is missing"))?,
+            patience: self.patience,
+            caller: self.caller,
+            size_kb: self.size_kb,
+            rank: self.rank,
+            key: self.key,
+            object: self.object,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/front.rs
@@ -0,0 +1,156 @@
+//! A connection of a caller: read a request, wait for its answer, write it, again.
+
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::net::TcpStream;
+use may::sync::mpsc::Receiver;
+
+use super::fields::{Bad, Message, Parsed};
+use super::Hub;
+use crate::core::{Answer, ConnId, End, Input, Verdict};
+
+/// A request must be there whole this long after its first byte.
+const READ_PATIENCE: Duration = Duration::from_secs(10);
+/// A caller that reads nothing for this long has stopped reading.
+const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// An idle connection looks this often whether it should close.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
+/// Bytes read at once.
+const CHUNK: usize = 4096;
+/// After an error, this much more is read and thrown away so that the answer is not lost to a reset.
+const LINGER: (usize, Duration) = (64 << 10, Duration::from_millis(200));
+
+/// How requests and answers look on a front.
+pub trait Wire: Copy + Send + 'static {
+    /// Reads one message from the start of `bytes`; none while it is not there whole.
+    fn parse(&self, bytes: &[u8]) -> Result<Option<Message>, Bad>;
+    /// An answer in bytes.
+    fn encode(&self, answer: &Answer, close: bool) -> Vec<u8>;
+    /// The answer to input that is no message.
+    fn encode_bad(&self, bad: Bad) -> Vec<u8>;
+}
+
+/// Why a connection is read no further.
+enum Stop {
+    /// It is idle, or the caller closed it.
+    Quiet,
+    /// It sent what is no request.
+    Bad(Bad),
+}
+
+/// Serves one connection until it ends.
+pub fn serve<W: Wire>(
+    mut stream: TcpStream,
+    wire: W,
+    conn: ConnId,
+    answers: &Receiver<Arc<Answer>>,
+    hub: &Arc<Hub>,
+) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(WRITE_PATIENCE));
+    let mut bytes = Vec::new();
+    loop {
+        let message = match read_message(&mut stream, wire, &mut bytes, hub) {
+            Ok(message) => message,
+            Err(Stop::Quiet) => return,
+            Err(Stop::Bad(bad)) => {
+                hub.push(Input::Rejected);
+                if write(&mut stream, &wire.encode_bad(bad), hub) {
+                    linger(&mut stream);
+                }
+                return;
+            }
+        };
+        bytes.drain(..message.taken);
+        hub.push(match message.parsed {
+            Parsed::Check { deep } => Input::Check { conn, deep },
+            Parsed::Request(mut request) => {
+                request.conn = conn;
+                Input::Request(request)
+            }
+        });
+        let Ok(answer) = answers.recv() else { return };
+        let invalid = matches!(answer.verdict, Verdict::Invalid(_) | Verdict::NoSuchClass);
+        let close = message.close || answer.close || invalid;
+        if !write(&mut stream, &wire.encode(&answer, close), hub) {
+            return;
+        }
+        if close {
+            return linger(&mut stream);
+        }
+    }
+}
+
+fn read_message<W: Wire>(
+    stream: &mut TcpStream,
+    wire: W,
+    bytes: &mut Vec<u8>,
+    hub: &Hub,
+) -> Result<Message, Stop> {
+    let since = Instant::now();
+    let mut last_look = false;
+    loop {
+        if let Some(message) = wire.parse(bytes).map_err(Stop::Bad)? {
+            return Ok(message);
+        }
+        let idle = bytes.is_empty();
+        let limit = if idle { hub.idle_limit() } else { READ_PATIENCE };
+        let left = limit.saturating_sub(since.elapsed());
+        if left.is_zero() && (last_look || !idle) {
+            return if idle {
+                Err(Stop::Quiet)
+            } else {
+                Err(Stop::Bad(Bad { status: 408, reason: "too slow" }))
+            };
+        }
+        // What came while the timer fired is read before the connection is closed as idle.
+        last_look = left.is_zero();
+        let _ = stream.set_read_timeout(Some(left.clamp(Duration::from_millis(1), IDLE_LOOK)));
+        match read_some(stream, bytes) {
+            Ok(0) => return Err(Stop::Quiet),
+            Ok(_) => {}
+            Err(e) if is_timeout(&e) => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return Err(Stop::Quiet),
+        }
+    }
+}
+
+pub(super) fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<usize> {
+    let had = bytes.len();
+    bytes.resize(had + CHUNK, 0);
+    let read = stream.read(&mut bytes[had..]);
+    bytes.truncate(had + *read.as_ref().unwrap_or(&0));
+    read
+}
+
+pub(super) fn is_timeout(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
+}
+
+fn write(stream: &mut TcpStream, bytes: &[u8], hub: &Hub) -> bool {
+    match stream.write_all(bytes) {
+        Ok(()) => true,
+        Err(e) => {
+            hub.push(Input::Unsent(if is_timeout(&e) { End::Stalled } else { End::Broken }));
+            false
+        }
+    }
+}
+
+/// Closes towards the caller, and reads on for a moment.
+fn linger(stream: &mut TcpStream) {
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.set_read_timeout(Some(LINGER.1));
+    let (mut bytes, mut total, since) = (Vec::new(), 0, Instant::now());
+    while total < LINGER.0 && since.elapsed() < LINGER.1 {
+        bytes.clear();
+        match read_some(stream, &mut bytes) {
+            Ok(n) if n > 0 => total += n,
+            _ => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,278 @@
+//! Effects on sockets: the fronts that callers connect to, and the links to agent, vault and control plane.
+//!
+//! Everything that happens goes through one inbox to the reducer's thread; each connection has a coroutine
+//! that reads and is its only writer, so a peer that stops reading holds up nobody else.
+
+pub mod agent;
+pub mod control;
+pub mod fields;
+pub mod front;
+pub mod http;
+mod lines;
+mod spawn;
+pub mod vault;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use may::net::{TcpListener, TcpStream};
+use may::sync::mpsc as co;
+use tracing::{info, warn};
+
+use crate::core::{Answer, ConnId, Core, Effect, Input};
+use crate::settings::Config;
+pub use spawn::{spawn, start_runtime};
+
+/// Inputs that may wait for the reducer; beyond that, whoever brings more waits.
+const INBOX_ROOM: usize = 4096;
+/// Inputs that the reducer takes at once.
+const BATCH: usize = 1024;
+/// Descriptors kept back for the agent, the vault, health checks, files and the runtime itself.
+const RESERVED_SOCKETS: usize = 64;
+/// Wait after a failed accept, so that a full table of descriptors is no busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// While leaving, the connections are looked at this often.
+const LEAVE_LOOK: Duration = Duration::from_millis(5);
+
+/// Time since the Unix epoch that only goes forward: the system's clock, read once, and steps from there.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// Reads the system's clock.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What all coroutines share.
+pub struct Hub {
+    inbox: Sender<Input>,
+    waiting: AtomicUsize,
+    ports: Mutex<HashMap<ConnId, co::Sender<Arc<Answer>>>>,
+    next_conn: AtomicU64,
+    most_connections: usize,
+    trim_us: AtomicU64,
+    closed: AtomicBool,
+}
+
+impl Hub {
+    fn new(inbox: Sender<Input>, most_connections: usize) -> Self {
+        Self {
+            inbox,
+            waiting: AtomicUsize::new(0),
+            ports: Mutex::default(),
+            next_conn: AtomicU64::new(1),
+            most_connections,
+            trim_us: AtomicU64::new(u64::MAX),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Brings an input to the reducer; called from coroutines, it waits while the inbox is full.
+    pub fn push(&self, input: Input) {
+        while self.waiting.load(Ordering::Relaxed) >= INBOX_ROOM {
+            may::coroutine::sleep(Duration::from_millis(1));
+        }
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        // The reducer's end is gone only while the process ends.
+        let _ = self.inbox.send(input);
+    }
+
+    fn ports(&self) -> MutexGuard<'_, HashMap<ConnId, co::Sender<Arc<Answer>>>> {
+        self.ports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a new connection, and where its answers come; none if there is no room.
+    fn open(&self) -> Option<(ConnId, co::Receiver<Arc<Answer>>)> {
+        let mut ports = self.ports();
+        if ports.len() >= self.most_connections {
+            return None;
+        }
+        let conn = self.next_conn.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = co::channel();
+        ports.insert(conn, sender);
+        Some((conn, receiver))
+    }
+
+    fn close(&self, conn: ConnId) {
+        self.ports().remove(&conn);
+    }
+
+    /// How long a connection may be idle; none is kept once the server takes no new ones.
+    fn idle_limit(&self) -> Duration {
+        match self.closed.load(Ordering::Relaxed) {
+            true => Duration::ZERO,
+            false => Duration::from_micros(self.trim_us.load(Ordering::Relaxed)),
+        }
+    }
+}
+
+/// Takes connections on a front until the server leaves.
+fn accept<W: front::Wire>(listener: TcpListener, wire: W, hub: &Arc<Hub>) {
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!("accept: {e}");
+                may::coroutine::sleep(ACCEPT_PAUSE);
+                continue;
+            }
+        };
+        if hub.closed.load(Ordering::Relaxed) {
+            return;
+        }
+        // Past the limit new connections are closed unread; what was read keeps its descriptor.
+        let Some((conn, answers)) = hub.open() else { continue };
+        let hub = hub.clone();
+        spawn(move || {
+            front::serve(stream, wire, conn, &answers, &hub);
+            hub.close(conn);
+        });
+    }
+}
+
+/// A bound listener on its way to [`accept`], which can be closed from outside.
+fn listen<W: front::Wire>(address: SocketAddr, wire: W, hub: &Arc<Hub>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let bound = listener.local_addr()?;
+    let hub = hub.clone();
+    spawn(move || accept(listener, wire, &hub));
+    Ok(bound)
+}
+
+/// Ends the accepting coroutine on `address`, and with it the listener: it looks after each connection.
+fn stop_listening(address: SocketAddr) {
+    spawn(move || drop(TcpStream::connect(address)));
+}
+
+/// A handle for parts outside the reducer, such as the signal handler.
+#[derive(Clone)]
+pub struct Handle(Arc<Hub>);
+
+impl Handle {
+    /// Begins to leave.
+    pub fn drain(&self) {
+        self.0.push(Input::Drain);
+    }
+}
+
+/// The program: the reducer with everything connected.
+pub struct Node {
+    core: Core,
+    clock: Clock,
+    hub: Arc<Hub>,
+    inbox: Receiver<Input>,
+    agent: Option<agent::Link>,
+    below: vault::Link,
+    control: Arc<AtomicBool>,
+    listeners: Vec<SocketAddr>,
+}
+
+impl Node {
+    /// Binds the fronts and starts the links.
+    pub fn start(config: Config) -> Result<Self, String> {
+        let clock = Clock::new();
+        let (sender, inbox) = std::sync::mpsc::channel();
+        let most = config.sockets.saturating_sub(RESERVED_SOCKETS).max(1);
+        let hub = Arc::new(Hub::new(sender, most));
+        let classes = config.site.class_names.clone();
+        let core = Core::new(config.site, config.seed, config.stop_after, clock.now())?;
+        let at = |e: io::Error| format!("listen: {}: {e}", config.listen);
+        let bound = listen(config.listen, http::Http, &hub).map_err(at)?;
+        info!("{} takes HTTP on {bound}", config.name);
+        let agent = config.agent.map(|address| agent::Link::start(address, classes, &hub));
+        let below = vault::Link::start(config.vault, &hub);
+        let control = Arc::new(AtomicBool::new(true));
+        if let Some(address) = config.control {
+            control::start(address, config.listen.ip(), config.name, control.clone());
+        }
+        Ok(Self { core, clock, hub, inbox, agent, below, control, listeners: vec![bound] })
+    }
+
+    /// A handle for other threads.
+    pub fn handle(&self) -> Handle {
+        Handle(self.hub.clone())
+    }
+
+    /// Runs until the server has left.
+    pub fn run(mut self) {
+        let mut leaving = false;
+        loop {
+            let wait = self
+                .core
+                .next_timer()
+                .map_or(Duration::from_secs(1), |at| at.saturating_sub(self.clock.now()));
+            let wait = if leaving { wait.min(LEAVE_LOOK) } else { wait };
+            let first = match self.inbox.recv_timeout(wait) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => break,
+            };
+            let mut batch: Vec<Input> = first.into_iter().collect();
+            batch.extend(self.inbox.try_iter().take(BATCH));
+            self.hub.waiting.fetch_sub(batch.len(), Ordering::Relaxed);
+            for effect in self.core.step(self.clock.now(), batch) {
+                leaving |= effect == Effect::Leave;
+                self.perform(effect);
+            }
+            if leaving && self.hub.ports().is_empty() {
+                break;
+            }
+        }
+        info!("counters at exit: {}", self.core.counters());
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { conn, answer } => {
+                if let Some(port) = self.hub.ports().get(&conn) {
+                    let _ = port.send(answer);
+                }
+            }
+            Effect::Agent(command) => {
+                if let Some(agent) = &self.agent {
+                    agent.send(command);
+                }
+            }
+            Effect::Call { handle, attempt, patience, body } => {
+                self.below.send(vault::Order::Ask { handle, attempt, patience, body });
+            }
+            Effect::Uncall { handle } => self.below.send(vault::Order::Unask { handle }),
+            Effect::TrimIdle(after) => {
+                let us = u64::try_from(after.as_micros()).unwrap_or(u64::MAX);
+                self.hub.trim_us.store(us, Ordering::Relaxed);
+            }
+            Effect::Draining => {
+                info!("leaving: counters so far: {}", self.core.counters());
+                self.control.store(false, Ordering::Relaxed);
+            }
+            Effect::StopListening => {
+                self.hub.closed.store(true, Ordering::Relaxed);
+                self.listeners.iter().for_each(|at| stop_listening(*at));
+            }
+            Effect::Leave => info!("all is answered"),
+            Effect::Log(text) => info!("{text}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/spawn.rs
@@ -0,0 +1,37 @@
+//! The one place where coroutines are started.
+
+use std::time::Duration;
+
+use may::coroutine::Builder;
+
+/// Stack of a coroutine in machine words (64 KiB): only touched pages take memory, and nothing here keeps
+/// buffers on the stack.
+const STACK_WORDS: usize = 0x2000;
+/// Threads that run coroutines. The program has one core; the second keeps I/O going while the first one
+/// writes a log line.
+const WORKERS: usize = 2;
+/// Stacks kept for the next coroutine; each has touched a few pages.
+const POOLED: usize = 128;
+
+/// Sets the runtime up; to be called before the first [`spawn`].
+pub fn start_runtime() {
+    // Pinned workers of every server on a machine would crowd its first cores.
+    may::config().set_worker_pin(false);
+    may::config().set_workers(WORKERS).set_stack_size(STACK_WORDS).set_pool_capacity(POOLED);
+    // A longer poll wakes idle workers less often; new work wakes them at once in any case.
+    may::config().set_timeout_ns(Duration::from_millis(10).as_nanos() as u64);
+}
+
+/// Starts a coroutine.
+///
+/// May marks its spawn unsafe for two reasons: code in a coroutine must not keep thread-local state across a
+/// point where it may move to another thread, and must not overrun its stack. The coroutines of this crate
+/// use no thread-local state across I/O, and keep their buffers on the heap.
+#[allow(unsafe_code)]
+pub fn spawn(work: impl FnOnce() + Send + 'static) {
+    // SAFETY: see above.
+    let started = unsafe { Builder::new().stack_size(STACK_WORDS).spawn(work) };
+    if let Err(e) = started {
+        tracing::error!("a coroutine could not be started: {e}");
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,371 @@
+//! The one place where configuration is read, checked and given defaults.
+//!
+//! The platform's variables (`RELAY_*`) and JSON file, the simulator's start-up options and the files under
+//! `deploy/` all end up here. Keys that are not known are skipped; a message names the key it is about.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use tinyjson::JsonValue;
+
+use crate::interface::{Below, Class, Preemption, Repeat, Settings, Signal, Tenant};
+
+/// What is wrong with a configuration, and at which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The faulty key, with the keys above it.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl ConfigError {
+    fn new(key: impl Into<String>, problem: impl Into<String>) -> Self {
+        Self { key: key.into(), problem: problem.into() }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// A place in a JSON document: the value there, if any, and the way to it. `null` counts as absent.
+struct Node<'a> {
+    value: Option<&'a JsonValue>,
+    key: String,
+}
+
+impl<'a> Node<'a> {
+    fn root(value: &'a JsonValue) -> Self {
+        Self { value: Some(value), key: String::new() }
+    }
+
+    fn bad<T>(&self, problem: impl Into<String>) -> Result<T, ConfigError> {
+        Err(ConfigError::new(self.key.clone(), problem))
+    }
+
+    /// The value under `key`; absent where this node is.
+    fn at(&self, key: &str) -> Result<Node<'a>, ConfigError> {
+        let path = if self.key.is_empty() { key.to_string() } else { format!("{}.{key}", self.key) };
+        let value = match self.value {
+            None => None,
+            Some(JsonValue::Object(members)) => members.get(key).filter(|v| !v.is_null()),
+            Some(_) => return self.bad("is no object"),
+        };
+        Ok(Node { value, key: path })
+    }
+
+    fn items(&self) -> Result<Vec<Node<'a>>, ConfigError> {
+        match self.value {
+            None => Ok(Vec::new()),
+            Some(JsonValue::Array(items)) => Ok(items
+                .iter()
+                .enumerate()
+                .map(|(at, v)| Node { value: Some(v), key: format!("{}[{at}]", self.key) })
+                .collect()),
+            Some(_) => self.bad("is no list"),
+        }
+    }
+
+    fn some<T>(self, read: impl Fn(&Self, &JsonValue) -> Result<T, ConfigError>) -> Result<T, ConfigError> {
+        match self.value {
+            Some(v) => read(&self, v),
+            None => self.bad("is missing"),
+        }
+    }
+
+    fn or<T>(
+        self,
+        default: T,
+        read: impl Fn(&Self, &JsonValue) -> Result<T, ConfigError>,
+    ) -> Result<T, ConfigError> {
+        self.value.map_or(Ok(default), |v| read(&self, v))
+    }
+}
+
+/// A number that is not negative.
+fn number(node: &Node, value: &JsonValue) -> Result<f64, ConfigError> {
+    match value {
+        JsonValue::Number(x) if x.is_finite() && *x >= 0.0 => Ok(*x),
+        JsonValue::Number(_) => node.bad("is negative or not finite"),
+        _ => node.bad("is no number"),
+    }
+}
+
+fn whole(node: &Node, value: &JsonValue) -> Result<u32, ConfigError> {
+    let x = number(node, value)?;
+    if x.fract() != 0.0 || x > f64::from(u32::MAX) {
+        return node.bad("is no whole number of this size");
+    }
+    Ok(x as u32)
+}
+
+/// A time in microseconds.
+fn micros(node: &Node, value: &JsonValue) -> Result<Duration, ConfigError> {
+    // Nothing here lasts for a day: more is a mistake, and would overflow sums of times later.
+    match number(node, value)? {
+        x if x <= 86_400e6 => Ok(Duration::from_micros(x as u64)),
+        _ => node.bad("is longer than a day"),
+    }
+}
+
+fn flag(node: &Node, value: &JsonValue) -> Result<bool, ConfigError> {
+    match value {
+        JsonValue::Boolean(b) => Ok(*b),
+        _ => node.bad("is neither true nor false"),
+    }
+}
+
+fn text(node: &Node, value: &JsonValue) -> Result<String, ConfigError> {
+    match value {
+        JsonValue::String(s) => Ok(s.clone()),
+        _ => node.bad("is no text"),
+    }
+}
+
+fn parsed<T: FromStr>(node: &Node, value: &JsonValue) -> Result<T, ConfigError> {
+    let text = text(node, value)?;
+    text.parse().or_else(|_| node.bad(format!("cannot be read from '{text}'")))
+}
+
+/// The settings of the module and the names that go with them on the wire.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names of its classes, in their order.
+    pub class_names: Vec<String>,
+    /// The gauges, in the order in which they are measured.
+    pub gauges: Vec<String>,
+}
+
+impl Site {
+    /// Reads the settings object that the simulator and the platform hand over.
+    pub fn parse(json: &str) -> Result<Self, ConfigError> {
+        Self::read(&Node::root(&parse_json("options", json)?))
+    }
+
+    fn read(node: &Node) -> Result<Self, ConfigError> {
+        let (sp, rules, limits) = (node.at("specifics")?, node.at("rules")?, node.at("limits")?);
+        let calls = sp.at("class_calls")?.items()?;
+        let worth = sp.at("worth_without")?.items()?;
+        let (mut classes, mut class_names) = (Vec::new(), Vec::new());
+        for (at, p) in node.at("profiles")?.items()?.into_iter().enumerate() {
+            class_names.push(p.at("name")?.or(String::new(), text)?);
+            classes.push(Class {
+                wanted: p.at("promise_us")?.some(micros)?,
+                wanted_stretch: p.at("aim_stretch")?.or(0.0, number)?,
+                give_up: p.at("give_up_us")?.some(micros)?,
+                repeat: p.at("repeat")?.some(|node, value| {
+                    Ok(match text(node, value)?.as_str() {
+                        "idempotent" => Repeat::Idempotent,
+                        "deduplicated" => Repeat::Deduplicated,
+                        _ => Repeat::AtMostOnce,
+                    })
+                })?,
+                window: p.at("memory_span_us")?.or(Duration::ZERO, micros)?,
+                worth: p.at("worth")?.some(number)?,
+                late_value: p.at("late_value")?.or(0.0, number)?,
+                calls: calls.get(at).and_then(|n| n.value.map(|v| flag(n, v))).unwrap_or(Ok(false))?,
+                skip_worth: worth.get(at).and_then(|n| n.value.map(|v| number(n, v))).unwrap_or(Ok(0.0))?,
+            });
+        }
+        let mut tenants = Vec::new();
+        for t in node.at("tenants")?.items()? {
+            tenants.push(Tenant { quota_per_s: t.at("quota_per_s")?.or(0.0, number)? });
+        }
+        let mut gauges = Vec::new();
+        for gauge in sp.at("meters")?.items()? {
+            gauges.push(gauge.some(text)?);
+        }
+        let word = |node: Node| node.or(String::new(), text);
+        let settings = Settings {
+            cores: sp.at("cores")?.some(whole)?,
+            memory_kb: sp.at("memory_kb")?.some(number)?,
+            run_factor: sp.at("run_factor")?.some(number)?,
+            key_kb: sp.at("kb_per_key")?.or(0.0, number)?,
+            servers: node.at("servers")?.some(whole)?,
+            entry: node.at("tier")?.or(0, whole)? == 0,
+            callers: sp.at("senders")?.or(0, whole)?,
+            idle_for: sp.at("idle_us")?.or(Duration::ZERO, micros)?,
+            cold: sp.at("cold")?.or(false, flag)?,
+            cold_from: rules.at("cold_from")?.or(0.0, number)?,
+            cold_for: rules.at("cold_us")?.or(Duration::ZERO, micros)?,
+            classes,
+            tenants,
+            over_share_worth: node.at("over_share_worth")?.or(1.0, number)?,
+            worth_by_work: word(node.at("counted_by")?)? == "work",
+            preemption: match word(sp.at("preemption")?)?.as_str() {
+                "drop" => Preemption::Drop,
+                "pause" => Preemption::Pause,
+                _ => Preemption::Off,
+            },
+            below: match word(sp.at("below")?)?.as_str() {
+                "common" => Below::Shared,
+                "next_hop" => Below::Tier,
+                _ => Below::Off,
+            },
+            call_share: sp.at("calls_out")?.or(0.0, number)?,
+            call_span: sp.at("share_span_us")?.or(Duration::ZERO, micros)?,
+            call_linger: sp.at("lingers_us")?.or(Duration::ZERO, micros)?,
+            fresh_for: sp.at("fresh_us")?.or(Duration::ZERO, micros)?,
+            signal: match word(sp.at("say")?)?.as_str() {
+                "min_rank" => Signal::MinRank,
+                "tokens" => Signal::Tokens,
+                "bias" => Signal::Bias,
+                _ => Signal::Off,
+            },
+            signal_lifetime: sp.at("heeded_us")?.or(Duration::ZERO, micros)?,
+            connect_price: node.at("prices")?.at("handshake")?.or(0.0, number)?,
+            marks_retries: node.at("clients")?.at("marks_retry")?.or(false, flag)?,
+            advice: limits.at("retry_after")?.or(false, flag)?,
+            advice_max: limits.at("max_retry_after_us")?.or(Duration::ZERO, micros)?,
+            readiness: sp.at("readiness")?.or(false, flag)?,
+            answer_slack: rules.at("answer_slack_us")?.some(micros)?,
+            drain_grace: rules.at("drain_grace_us")?.some(micros)?,
+            crowd_per_core: rules.at("fall_multiple")?.some(number)?,
+            crowd_span: rules.at("tip_after_us")?.some(micros)?,
+        };
+        if let Err(e) = settings.check() {
+            return node.bad(e.to_string());
+        }
+        Ok(Self { settings, class_names, gauges })
+    }
+}
+
+fn parse_json(what: &str, json: &str) -> Result<JsonValue, ConfigError> {
+    json.parse().map_err(|e: tinyjson::JsonParseError| ConfigError::new(what, format!("no JSON: {e}")))
+}
+
+/// What the program as a whole is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Its name in the fleet.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// The agent that runs the work; without one, the site's own application does.
+    pub agent: Option<SocketAddr>,
+    /// Where reports of being alive go.
+    pub control: Option<SocketAddr>,
+    /// Where calls below are made.
+    pub vault: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// From the notice to leave to the kill.
+    pub stop_after: Duration,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The module's part.
+    pub site: Site,
+    /// The fronts and the appliance beside the platform's port.
+    pub appliance: Appliance,
+}
+
+/// What `deploy/appliance.json` switches on; all of it is off where that file is absent.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Appliance {
+    /// Where SCGI callers connect.
+    pub scgi_listen: Option<SocketAddr>,
+    /// The site's own SCGI application, which runs requests where there is no agent.
+    pub scgi_application: Option<SocketAddr>,
+    /// An SCGI service that takes the calls below.
+    pub scgi_below: Option<SocketAddr>,
+}
+
+/// The file that switches the appliance on, unless `RELAY_APPLIANCE` names another.
+pub const APPLIANCE_FILE: &str = "deploy/appliance.json";
+/// Descriptors where no limit is told.
+const DEFAULT_SOCKETS: u32 = 1024;
+/// Time from the notice to the kill where it is not told.
+const DEFAULT_STOP_MS: f64 = 3000.0;
+
+impl Appliance {
+    /// Reads the text of such a file.
+    pub fn parse(json: &str) -> Result<Self, ConfigError> {
+        let json = parse_json(APPLIANCE_FILE, json)?;
+        let scgi = Node::root(&json).at("scgi")?;
+        let address = |key| scgi.at(key)?.or(None, |n, v| parsed(n, v).map(Some));
+        Ok(Self {
+            scgi_listen: address("listen")?,
+            scgi_application: address("application")?,
+            scgi_below: address("below")?,
+        })
+    }
+}
+
+impl Config {
+    /// Reads the environment and the files that it names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let vars: HashMap<String, String> =
+            std::env::vars().filter(|(k, _)| k.starts_with("RELAY_")).collect();
+        let read = |key: &str, path: &str| {
+            std::fs::read_to_string(path).map_err(|e| ConfigError::new(key, format!("{path}: {e}")))
+        };
+        let path = vars.get("RELAY_CONFIG").ok_or_else(|| ConfigError::new("RELAY_CONFIG", "is not set"))?;
+        let mut config = Self::parse(&read("RELAY_CONFIG", path)?, &vars)?;
+        match vars.get("RELAY_APPLIANCE") {
+            Some(path) => config.appliance = Appliance::parse(&read("RELAY_APPLIANCE", path)?)?,
+            None if std::path::Path::new(APPLIANCE_FILE).exists() => {
+                config.appliance = Appliance::parse(&read(APPLIANCE_FILE, APPLIANCE_FILE)?)?;
+            }
+            None => {}
+        }
+        if config.agent.is_none() && config.appliance.scgi_application.is_none() {
+            return Err(ConfigError::new("agent", "is missing, and no scgi.application takes its place"));
+        }
+        Ok(config)
+    }
+
+    /// Reads the JSON file; the variables win over what it says.
+    pub fn parse(json: &str, vars: &HashMap<String, String>) -> Result<Self, ConfigError> {
+        let json = parse_json("RELAY_CONFIG", json)?;
+        let node = Node::root(&json);
+        let address = |key: &str| node.at(key)?.or(None, |n, v| parsed(n, v).map(Some));
+        let listen = match vars.get("RELAY_LISTEN") {
+            Some(text) => text
+                .parse()
+                .map_err(|_| ConfigError::new("RELAY_LISTEN", format!("cannot be read from '{text}'")))?,
+            None => node.at("listen")?.some(parsed)?,
+        };
+        let name = match vars.get("RELAY_NAME") {
+            Some(name) => name.clone(),
+            None => node.at("name")?.some(text)?,
+        };
+        if name.is_empty() || name.contains(char::is_whitespace) {
+            return Err(ConfigError::new("name", "must be one word"));
+        }
+        let seed = node.at("seed")?.or(0, |n, v| {
+            let text = text(n, v)?;
+            u64::from_str_radix(&text, 16).or_else(|_| n.bad("is no hexadecimal number"))
+        })?;
+        let stop_ms = node.at("stop_ms")?.or(DEFAULT_STOP_MS, number)?;
+        if stop_ms > 86_400e3 {
+            return Err(ConfigError::new("stop_ms", "is longer than a day"));
+        }
+        let sockets = node.at("limits")?.at("sockets")?.or(DEFAULT_SOCKETS, whole)? as usize;
+        let settings = node.at("settings")?;
+        if settings.value.is_none() {
+            return settings.bad("is missing");
+        }
+        Ok(Self {
+            name,
+            listen,
+            agent: address("agent")?,
+            control: address("control")?,
+            vault: address("vault")?,
+            seed,
+            stop_after: Duration::from_micros((stop_ms * 1000.0) as u64),
+            sockets,
+            site: Site::read(&settings)?,
+            appliance: Appliance::default(),
+        })
+    }
+}
