--- a/src/brain.rs
+++ b/src/brain.rs
@@ -498,6 +498,10 @@
         if outcome == Outcome::Done && r.phase == Phase::Running {
             self.limit.done += 1;
             self.lengths[r.class].learn(took, r.hint);
+        } else if outcome.never_ran() && r.phase == Phase::Running {
+            // Nothing began: another try of its key may run.
+            let effect = self.effects.of.get(&id).and_then(|e| self.effects.all.get_mut(e));
+            effect.into_iter().for_each(|e| e.started = false);
         }
         self.remove(id);
     }
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -105,6 +105,13 @@
         }
     }
 
+    /// The run of a try is proven not to have begun.
+    pub(super) fn never_ran(&mut self, key: &Key, id: RequestId) {
+        if let Some(e) = self.entries.get_mut(key) {
+            e.ran = e.ran.take().filter(|r| r.id != id);
+        }
+    }
+
     /// A try is answered and over.
     pub(super) fn left(&mut self, key: &Key, id: RequestId) {
         let Some(e) = self.entries.get_mut(key) else { return };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -37,6 +37,9 @@
 /// This long after its due time a run of an answered request is taken to be lost.
 const RUN_LOST: Duration = Duration::from_secs(60);
 
+/// Time that closing the connections may take, between the end of the grace and the kill.
+const CLOSE_TIME: Duration = Duration::from_millis(800);
+
 /// Something that the reducer is to be woken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
@@ -79,6 +82,8 @@
     call_began: Option<Duration>,
     /// The last word to the agent about this run, until a notice shows that it was heard.
     unheard: Option<Command>,
+    /// The link broke after that word was sent: nobody knows whether it arrived.
+    doubtful: bool,
 }
 
 /// The reducer's state.
@@ -203,6 +208,7 @@
                 self.call_ended(now, handle, attempt, end, reply);
             }
             Input::Drain => self.drain(now),
+            Input::Report => self.effects.push(Effect::Log(format!("counters: {}", self.counters))),
         }
         if !self.events.is_empty() {
             self.settle_events(now, actions);
@@ -253,9 +259,10 @@
             call: (0, Bytes::from([]), 0),
             call_began: None,
             unheard: None,
+            doubtful: false,
         };
         self.live.insert(id, live);
-        self.arm(due + OVERDUE, Timer::Due(id));
+        self.arm(due.max(now) + OVERDUE, Timer::Due(id));
         self.events.push_back(Event::Arrived(Arrival {
             id,
             class,
@@ -298,6 +305,8 @@
             Notice::Lost(_) => {
                 self.link_up = false;
                 self.counters.links_lost += 1;
+                // What is said from now on waits for the next link, and is not in doubt.
+                self.live.values_mut().for_each(|l| l.doubtful = l.unheard.is_some());
             }
             Notice::Synced => self.say_again(),
             Notice::Sampled { ticket, figures } => {
@@ -343,12 +352,12 @@
     /// what may run again. A launch that carries a key is not repeated: its run could have ended just now,
     /// unseen, and must not have its effect twice; its caller gets a failure when it is due.
     fn say_again(&mut self) {
-        let mut again: Vec<_> = self
-            .live
-            .iter()
-            .filter(|(_, l)| !matches!(l.unheard, Some(Command::Launch { .. })) || l.key.is_none())
-            .filter_map(|(id, l)| Some((*id, l.unheard.clone()?)))
-            .collect();
+        let mut again = Vec::new();
+        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.doubtful) {
+            live.doubtful = false;
+            let launch = matches!(live.unheard, Some(Command::Launch { .. }));
+            again.extend(live.unheard.clone().filter(|_| !launch || live.key.is_none()).map(|c| (*id, c)));
+        }
         again.sort_by_key(|(id, _)| *id);
         self.effects.extend(again.into_iter().map(|(_, command)| Effect::Agent(command)));
     }
@@ -370,10 +379,18 @@
         let served = result.filter(|_| outcome == Outcome::Done);
         self.counters.ended(end);
         if let Some(key) = live.key.clone() {
-            self.keys.ended(&key, id, served.clone());
+            match outcome.never_ran() {
+                true => self.keys.never_ran(&key, id),
+                false => self.keys.ended(&key, id, served.clone()),
+            }
         }
         self.give_up_call(id);
-        let verdict = served.clone().map_or(Verdict::Failed, Verdict::Served);
+        let verdict = match (&served, end) {
+            (Some(result), _) => Verdict::Served(result.clone()),
+            // Nobody took the work: the caller may try elsewhere.
+            (None, End::Refused) => Verdict::Refused { retry_after: Duration::ZERO, no_retry: false },
+            _ => Verdict::Failed,
+        };
         self.settle(id, verdict);
         self.events.push_back(Event::Finished { id, outcome, took });
         self.remove(now, id, served);
@@ -410,7 +427,7 @@
             (Outcome::Done, Some(arg)) => {
                 live.phase = Phase::Running;
                 let command = Command::Deliver { handle, arg };
-                live.unheard = Some(command.clone());
+                (live.unheard, live.doubtful) = (Some(command.clone()), false);
                 self.effects.push(Effect::Agent(command));
                 Outcome::Done
             }
@@ -424,7 +441,7 @@
         if self.drain.replace(now).is_some() {
             return;
         }
-        let grace = self.site.settings.drain_grace;
+        let grace = self.site.settings.drain_grace.min(self.stop_after.saturating_sub(CLOSE_TIME));
         self.arm(now + grace, Timer::DrainGrace);
         self.effects.push(Effect::Draining);
         self.events.push_back(Event::Retire { stop_at: now + self.stop_after });
@@ -513,7 +530,7 @@
                 let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::AtCall) else { return };
                 live.phase = Phase::Running;
                 let command = Command::Forgo { handle: live.handle, cursor: live.call.0 };
-                live.unheard = Some(command.clone());
+                (live.unheard, live.doubtful) = (Some(command.clone()), false);
                 self.counters.calls_skipped += 1;
                 self.effects.push(Effect::Agent(command));
             }
@@ -540,7 +557,10 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let handle = live.handle;
         let command = match live.phase {
-            Phase::Held => Command::Launch { handle, class: live.class, arg: live.body.clone() },
+            Phase::Held => {
+                let patience = live.due.saturating_sub(now);
+                Command::Launch { handle, class: live.class, arg: live.body.clone(), patience }
+            }
             Phase::Paused => Command::Thaw { handle },
             _ => return,
         };
@@ -562,7 +582,7 @@
         }
         let Some(live) = self.live.get_mut(&id) else { return };
         (live.phase, live.began) = (Phase::Running, now);
-        live.unheard = Some(command.clone());
+        (live.unheard, live.doubtful) = (Some(command.clone()), false);
         let lost = live.due + RUN_LOST;
         self.arm(lost, Timer::RunLost(id));
         self.effects.push(Effect::Agent(command));
@@ -596,7 +616,7 @@
             // An answered run that is stopped ends, and is not paused.
             if live.conn.is_some() {
                 live.phase = Phase::Paused;
-                live.unheard = Some(command.clone());
+                (live.unheard, live.doubtful) = (Some(command.clone()), false);
             }
             self.effects.push(Effect::Agent(command));
         }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -99,6 +99,8 @@
     },
     /// The process is to leave.
     Drain,
+    /// The counters are to be printed.
+    Report,
 }
 
 /// What the agent tells.
@@ -162,6 +164,8 @@
         class: usize,
         /// Its body.
         arg: Bytes,
+        /// How long its caller still waits.
+        patience: Duration,
     },
     /// Stop a run.
     Freeze {
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,16 +4,23 @@
 
 use hopwalk::net::{start_runtime, Node};
 use hopwalk::settings::Config;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 fn run() -> Result<(), String> {
     let config = Config::from_env().map_err(|e| e.to_string())?;
     start_runtime();
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     let node = Node::start(config)?;
     let handle = node.handle();
-    std::thread::spawn(move || signals.forever().for_each(|_| handle.drain()));
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            match signal {
+                SIGUSR1 => handle.report(),
+                _ => handle.drain(),
+            }
+        }
+    });
     node.run();
     Ok(())
 }
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -152,7 +152,7 @@
 /// Appends a command as a line.
 pub fn encode(command: &Command, classes: &[String], out: &mut String) {
     let line = match command {
-        Command::Launch { handle, class, arg } => {
+        Command::Launch { handle, class, arg, .. } => {
             let entry = JsonValue::String(classes.get(*class).cloned().unwrap_or_default());
             let entry = entry.stringify().unwrap_or_default();
             let arg = BASE64.encode(arg);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -97,9 +97,14 @@
             return Ok(message);
         }
         let idle = bytes.is_empty();
-        let limit = if idle { hub.idle_limit() } else { READ_PATIENCE };
+        // A length that lies must not hold up the end of a drain.
+        let limit = match (idle, hub.is_closed()) {
+            (true, _) => hub.idle_limit(),
+            (false, true) => Duration::ZERO,
+            (false, false) => READ_PATIENCE,
+        };
         let left = limit.saturating_sub(since.elapsed());
-        if left.is_zero() && (last_look || !idle) {
+        if left.is_zero() && last_look {
             return if idle {
                 Err(Stop::Quiet)
             } else {
@@ -110,7 +115,9 @@
         last_look = left.is_zero();
         let _ = stream.set_read_timeout(Some(left.clamp(Duration::from_millis(1), IDLE_LOOK)));
         match read_some(stream, bytes) {
-            Ok(0) => return Err(Stop::Quiet),
+            Ok(0) if idle => return Err(Stop::Quiet),
+            // The caller may have closed only its own side, and still read.
+            Ok(0) => return Err(Stop::Bad(Bad::request("the request ends early"))),
             Ok(_) => {}
             Err(e) if is_timeout(&e) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -77,7 +77,7 @@
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     if path == CHECK {
         return match method {
-            "GET" | "HEAD" => Ok(Parsed::Check { deep: query.split('&').any(|pair| pair == "deep=1") }),
+            "GET" => Ok(Parsed::Check { deep: query.split('&').any(|pair| pair == "deep=1") }),
             _ => Err(Bad { status: 405, reason: "a check is a GET" }),
         };
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod http;
 mod lines;
+pub mod scgi;
 mod spawn;
 pub mod vault;
 
@@ -32,8 +33,8 @@
 const INBOX_ROOM: usize = 4096;
 /// Inputs that the reducer takes at once.
 const BATCH: usize = 1024;
-/// Descriptors kept back for the agent, the vault, health checks, files and the runtime itself.
-const RESERVED_SOCKETS: usize = 64;
+/// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime.
+const RESERVED_SOCKETS: usize = 128;
 /// Wait after a failed accept, so that a full table of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// While leaving, the connections are looked at this often.
@@ -121,11 +122,16 @@
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
     fn idle_limit(&self) -> Duration {
-        match self.closed.load(Ordering::Relaxed) {
+        match self.is_closed() {
             true => Duration::ZERO,
             false => Duration::from_micros(self.trim_us.load(Ordering::Relaxed)),
         }
     }
+
+    /// The server takes no new connections, and waits for no more of a request than is there.
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
 }
 
 /// Takes connections on a front until the server leaves.
@@ -139,7 +145,7 @@
                 continue;
             }
         };
-        if hub.closed.load(Ordering::Relaxed) {
+        if hub.is_closed() {
             return;
         }
         // Past the limit new connections are closed unread; what was read keeps its descriptor.
@@ -175,6 +181,24 @@
     pub fn drain(&self) {
         self.0.push(Input::Drain);
     }
+
+    /// Has the counters printed.
+    pub fn report(&self) {
+        self.0.push(Input::Report);
+    }
+}
+
+/// What does the work.
+enum Runner {
+    Agent(agent::Link),
+    Application(scgi::Application),
+    None,
+}
+
+/// What takes the calls below.
+enum Below {
+    Vault(vault::Link),
+    Scgi(SocketAddr),
 }
 
 /// The program: the reducer with everything connected.
@@ -183,8 +207,8 @@
     clock: Clock,
     hub: Arc<Hub>,
     inbox: Receiver<Input>,
-    agent: Option<agent::Link>,
-    below: vault::Link,
+    runner: Runner,
+    below: Below,
     control: Arc<AtomicBool>,
     listeners: Vec<SocketAddr>,
 }
@@ -201,13 +225,27 @@
         let at = |e: io::Error| format!("listen: {}: {e}", config.listen);
         let bound = listen(config.listen, http::Http, &hub).map_err(at)?;
         info!("{} takes HTTP on {bound}", config.name);
-        let agent = config.agent.map(|address| agent::Link::start(address, classes, &hub));
-        let below = vault::Link::start(config.vault, &hub);
+        let mut listeners = vec![bound];
+        if let Some(address) = config.appliance.scgi_listen {
+            let at = |e: io::Error| format!("scgi.listen: {address}: {e}");
+            let bound = listen(address, scgi::Scgi, &hub).map_err(at)?;
+            info!("{} takes SCGI on {bound}", config.name);
+            listeners.push(bound);
+        }
+        let runner = match (config.agent, config.appliance.scgi_application) {
+            (Some(address), _) => Runner::Agent(agent::Link::start(address, classes, &hub)),
+            (None, Some(address)) => Runner::Application(scgi::Application::new(address, classes, &hub)),
+            (None, None) => Runner::None,
+        };
+        let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
+            Some(address) => Below::Scgi(address),
+            None => Below::Vault(vault::Link::start(config.vault, &hub)),
+        };
         let control = Arc::new(AtomicBool::new(true));
         if let Some(address) = config.control {
             control::start(address, config.listen.ip(), config.name, control.clone());
         }
-        Ok(Self { core, clock, hub, inbox, agent, below, control, listeners: vec![bound] })
+        Ok(Self { core, clock, hub, inbox, runner, below, control, listeners })
     }
 
     /// A handle for other threads.
@@ -250,15 +288,21 @@
                     let _ = port.send(answer);
                 }
             }
-            Effect::Agent(command) => {
-                if let Some(agent) = &self.agent {
-                    agent.send(command);
+            Effect::Agent(command) => match &self.runner {
+                Runner::Agent(agent) => agent.send(command),
+                Runner::Application(application) => application.send(command),
+                Runner::None => {}
+            },
+            Effect::Call { handle, attempt, patience, body } => match &self.below {
+                Below::Vault(vault) => vault.send(vault::Order::Ask { handle, attempt, patience, body }),
+                Below::Scgi(service) => scgi::call(*service, &self.hub, handle, attempt, patience, body),
+            },
+            Effect::Uncall { handle } => {
+                // An SCGI call has no word for this: it ends with its own time.
+                if let Below::Vault(vault) = &self.below {
+                    vault.send(vault::Order::Unask { handle });
                 }
             }
-            Effect::Call { handle, attempt, patience, body } => {
-                self.below.send(vault::Order::Ask { handle, attempt, patience, body });
-            }
-            Effect::Uncall { handle } => self.below.send(vault::Order::Unask { handle }),
             Effect::TrimIdle(after) => {
                 let us = u64::try_from(after.as_micros()).unwrap_or(u64::MAX);
                 self.hub.trim_us.store(us, Ordering::Relaxed);
--- /dev/null
+++ b/src/net/scgi.rs
@@ -0,0 +1,248 @@
+//! SCGI, both ways: the second front, and calls to SCGI services.
+//!
+//! A request is a netstring of fields, each name and value ended by a NUL, and then the body; the fields of
+//! the platform's protocol travel as `HTTP_*`. One request is made on a connection, and the end of the
+//! answer is the end of the connection.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use may::net::TcpStream;
+
+use super::fields::{Bad, Fields, Message, MOST_BODY, MOST_HEAD};
+use super::front::{is_timeout, read_some, Wire};
+use super::http::{parts, phrase, route};
+use super::{spawn, Hub};
+use crate::core::{Answer, Bytes, Command, End, Handle, Input, Notice};
+
+/// Digits of the longest header length.
+const LENGTH_DIGITS: usize = 5;
+/// The longest answer of a service, head and body.
+const MOST_ANSWER: usize = 64 << 10;
+/// An attempt to connect to a service is given up after this long.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The SCGI wire.
+#[derive(Clone, Copy, Debug)]
+pub struct Scgi;
+
+impl Wire for Scgi {
+    fn parse(&self, bytes: &[u8]) -> Result<Option<Message>, Bad> {
+        parse(bytes)
+    }
+
+    fn encode(&self, answer: &Answer, _close: bool) -> Vec<u8> {
+        let (status, fields, body) = parts(answer);
+        response(status, &fields, body)
+    }
+
+    fn encode_bad(&self, bad: Bad) -> Vec<u8> {
+        response(bad.status, "", bad.reason.as_bytes())
+    }
+}
+
+fn response(status: u16, fields: &str, body: &[u8]) -> Vec<u8> {
+    let phrase = phrase(status);
+    let head = format!("Status: {status} {phrase}\r\nContent-Length: {}\r\n{fields}\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// The netstring at the start of `bytes`, and where what follows it begins.
+fn netstring(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, Bad> {
+    let Some(colon) = bytes.iter().take(LENGTH_DIGITS + 1).position(|b| *b == b':') else {
+        let digits = bytes.iter().take(LENGTH_DIGITS + 1).all(u8::is_ascii_digit);
+        return match digits && bytes.len() <= LENGTH_DIGITS {
+            true => Ok(None),
+            false => Err(Bad::request("the header block has no length")),
+        };
+    };
+    let digits = std::str::from_utf8(&bytes[..colon]).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
+    // A leading zero is no length in a netstring; an empty block has no fields and no use here.
+    let len = digits.filter(|d| !d.starts_with('0')).and_then(|d| d.parse::<usize>().ok());
+    let len = len.ok_or(Bad::request("the header block has no length"))?;
+    if len > MOST_HEAD {
+        return Err(Bad { status: 431, reason: "the header block is too large" });
+    }
+    let (from, to) = (colon + 1, colon + 1 + len);
+    match bytes.get(to) {
+        None => Ok(None),
+        Some(b',') => Ok(Some((&bytes[from..to], to + 1))),
+        Some(_) => Err(Bad::request("the header block does not end where its length says")),
+    }
+}
+
+fn parse(bytes: &[u8]) -> Result<Option<Message>, Bad> {
+    let Some((block, body_at)) = netstring(bytes)? else { return Ok(None) };
+    let text = std::str::from_utf8(block).map_err(|_| Bad::request("a field is no text"))?;
+    let text = text.strip_suffix('\0').ok_or(Bad::request("the last field is not ended"))?;
+    let mut parts = text.split('\0');
+    let mut known = Fields::default();
+    let (mut body_len, mut scgi) = (None, false);
+    let (mut method, mut uri, mut path, mut query) = ("", "", "", "");
+    while let Some(name) = parts.next() {
+        let value = parts.next().ok_or(Bad::request("a field has no value"))?;
+        if body_len.is_none() && name != "CONTENT_LENGTH" {
+            return Err(Bad::request("CONTENT_LENGTH does not come first"));
+        }
+        match name {
+            "CONTENT_LENGTH" => {
+                let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                let len = value.parse::<usize>().ok().filter(|_| digits && body_len.is_none());
+                body_len = Some(len.ok_or(Bad::request("CONTENT_LENGTH is no length, or stands twice"))?);
+            }
+            "SCGI" => scgi = value == "1",
+            "REQUEST_METHOD" => method = value,
+            "REQUEST_URI" => uri = value,
+            "PATH_INFO" => path = value,
+            "QUERY_STRING" => query = value,
+            _ => {
+                if let Some(name) = name.strip_prefix("HTTP_") {
+                    known.set(&name.replace('_', "-"), value)?;
+                }
+            }
+        }
+    }
+    let body_len = body_len.ok_or(Bad::request("CONTENT_LENGTH is missing"))?;
+    if !scgi {
+        return Err(Bad::request("SCGI=1 is missing"));
+    }
+    if body_len > MOST_BODY {
+        return Err(Bad { status: 413, reason: "the body is too large" });
+    }
+    let taken = body_at + body_len;
+    let Some(body) = bytes.get(body_at..taken) else { return Ok(None) };
+    // Nothing may follow on this wire: either length could be the wrong one, so the request is not run.
+    if bytes.len() > taken {
+        return Err(Bad::request("the body is longer than CONTENT_LENGTH"));
+    }
+    let target = if uri.is_empty() { format!("{path}?{query}") } else { uri.to_string() };
+    let parsed = route(method, &target, known, body)?;
+    Ok(Some(Message { parsed, taken, close: true }))
+}
+
+/// A request in bytes; `fields` come after CONTENT_LENGTH and SCGI.
+pub fn encode_request(fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut block = format!("CONTENT_LENGTH\0{}\0SCGI\x001\0", body.len());
+    for (name, value) in fields {
+        block.extend([*name, "\0", *value, "\0"]);
+    }
+    [format!("{}:", block.len()).as_bytes(), block.as_bytes(), b",", body].concat()
+}
+
+/// Reads the whole answer of a service: how the exchange ended, and the body where it went well. An answer
+/// that is cut short shows by its Content-Length, or by having no end of its head.
+pub fn parse_response(bytes: &[u8]) -> (End, Option<Bytes>) {
+    let find = |end: &[u8]| bytes.windows(end.len()).position(|w| w == end).map(|at| (at, at + end.len()));
+    let ends = [find(b"\r\n\r\n"), find(b"\n\n")];
+    let Some((head_len, body_at)) = ends.into_iter().flatten().min() else { return (End::Broken, None) };
+    let Ok(head) = std::str::from_utf8(&bytes[..head_len]) else { return (End::Malformed, None) };
+    let body = &bytes[body_at..];
+    let mut status = 200;
+    for line in head.lines() {
+        let Some((name, value)) = line.split_once(':') else { return (End::Malformed, None) };
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("status") {
+            match value.split(' ').next().and_then(|code| code.parse().ok()) {
+                Some(code) => status = code,
+                None => return (End::Malformed, None),
+            }
+        } else if name.eq_ignore_ascii_case("content-length") {
+            match value.parse::<usize>() {
+                Ok(len) if len == body.len() => {}
+                Ok(len) if len > body.len() => return (End::Broken, None),
+                _ => return (End::Malformed, None),
+            }
+        }
+    }
+    match status {
+        200..=299 => (End::Complete, Some(body.into())),
+        429 | 503 => (End::NotNow, None),
+        504 => (End::Overdue, None),
+        _ => (End::Failed, None),
+    }
+}
+
+/// Makes one call and tells how it ended. What was refused on connecting never ran; what broke after a byte
+/// was sent may have.
+fn exchange(service: SocketAddr, request: &[u8], patience: Duration) -> (End, Option<Bytes>) {
+    let until = Instant::now() + patience;
+    let Ok(mut stream) = TcpStream::connect_timeout(&service, CONNECT_PATIENCE.min(patience)) else {
+        return (End::Refused, None);
+    };
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(patience));
+    if let Err(e) = stream.write_all(request) {
+        return (if is_timeout(&e) { End::Stalled } else { End::Broken }, None);
+    }
+    let mut bytes = Vec::new();
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return (End::Overdue, None);
+        }
+        let _ = stream.set_read_timeout(Some(left));
+        match read_some(&mut stream, &mut bytes) {
+            Ok(0) => return parse_response(&bytes),
+            Ok(_) if bytes.len() > MOST_ANSWER => return (End::Malformed, None),
+            Ok(_) => {}
+            Err(e) if is_timeout(&e) || e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(_) => return (End::Broken, None),
+        }
+    }
+}
+
+fn request(path: &str, handle: Handle, patience: Duration, body: &[u8]) -> Vec<u8> {
+    let (handle, ms) = (handle.to_string(), patience.as_millis().max(1).to_string());
+    let fields = [
+        ("REQUEST_METHOD", "POST"),
+        ("REQUEST_URI", path),
+        ("HTTP_X_REQUEST_ID", &handle),
+        ("HTTP_X_TIMEOUT_MS", &ms),
+    ];
+    encode_request(&fields, body)
+}
+
+/// Makes a call below at an SCGI service, on a coroutine of its own.
+pub fn call(
+    service: SocketAddr,
+    hub: &Arc<Hub>,
+    handle: Handle,
+    attempt: u32,
+    patience: Duration,
+    body: Bytes,
+) {
+    let hub = hub.clone();
+    spawn(move || {
+        let (end, reply) = exchange(service, &request("/call", handle, patience, &body), patience);
+        hub.push(Input::CallEnded { handle, attempt, end, reply });
+    });
+}
+
+/// The site's own application, which does the work where there is no agent.
+pub struct Application {
+    address: SocketAddr,
+    classes: Vec<String>,
+    hub: Arc<Hub>,
+}
+
+impl Application {
+    /// Nothing is connected until there is work.
+    pub fn new(address: SocketAddr, classes: Vec<String>, hub: &Arc<Hub>) -> Self {
+        Self { address, classes, hub: hub.clone() }
+    }
+
+    /// Carries out a command; an application knows only launches.
+    pub fn send(&self, command: Command) {
+        let Command::Launch { handle, class, arg, patience } = command else { return };
+        let path = format!("/do/{}", self.classes.get(class).map_or("", String::as_str));
+        let (address, hub) = (self.address, self.hub.clone());
+        spawn(move || {
+            let began = Instant::now();
+            let (end, result) = exchange(address, &request(&path, handle, patience, &arg), patience);
+            let lasted = Some(began.elapsed());
+            hub.push(Input::Agent(Notice::Outcome { handle, end, lasted, result }));
+        });
+    }
+}
--- /dev/null
+++ b/tests/codecs.rs
@@ -0,0 +1,212 @@
+//! The codecs, on bytes alone.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hopwalk::core::{Answer, Command, End, Notice, Verdict};
+use hopwalk::net::fields::{Bad, Message, Parsed};
+use hopwalk::net::front::Wire;
+use hopwalk::net::{agent, control, http::Http, scgi, scgi::Scgi, vault};
+use hopwalk::settings::{Appliance, Config, Site};
+use rstest::rstest;
+
+const SITE: &str = include_str!("site.json");
+const HEAD: &str =
+    "X-Request-Id: 9b1f03aa5c7e2d41\r\nX-Request-Start: 1764576000123\r\nX-Memory-Kb: 24.5\r\n";
+
+fn http(start: &str, fields: &str, body: &str) -> Vec<u8> {
+    format!("{start} HTTP/1.1\r\nHost: app.svc\r\n{HEAD}{fields}\r\n{body}").into_bytes()
+}
+
+fn scgi_request(fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut all = vec![
+        ("REQUEST_METHOD", "POST"),
+        ("REQUEST_URI", "/do/lobby-confirm"),
+        ("HTTP_X_REQUEST_ID", "9b1f03aa5c7e2d41"),
+        ("HTTP_X_REQUEST_START", "1764576000123"),
+    ];
+    all.extend(fields);
+    scgi::encode_request(&all, body)
+}
+
+fn request(message: Message) -> hopwalk::core::Request {
+    match message.parsed {
+        Parsed::Request(request) => *request,
+        Parsed::Check { .. } => panic!("this is a check"),
+    }
+}
+
+/// Feeds a message byte by byte: it must be there with its last byte, and not before.
+fn fed(wire: impl Wire, bytes: &[u8]) -> Message {
+    for len in 0..bytes.len() {
+        assert!(wire.parse(&bytes[..len]).unwrap().is_none(), "read whole after {len} bytes");
+    }
+    let message = wire.parse(bytes).unwrap().expect("a whole message");
+    assert_eq!(message.taken, bytes.len());
+    message
+}
+
+#[test]
+fn both_fronts_read_the_same_request() {
+    let fields =
+        "X-Timeout-Ms: 480\r\nX-Caller: 4\r\nX-Rank: 0.625\r\nIdempotency-Key: 5c0f\r\nContent-Length: 3\r\n";
+    let over_http = request(fed(Http, &http("POST /do/lobby-confirm", fields, "a\0b")));
+    let pairs = [
+        ("HTTP_X_TIMEOUT_MS", "480"),
+        ("HTTP_X_CALLER", "4"),
+        ("HTTP_X_RANK", "0.625"),
+        ("HTTP_X_MEMORY_KB", "24.5"),
+        ("HTTP_IDEMPOTENCY_KEY", "5c0f"),
+    ];
+    let over_scgi = request(fed(Scgi, &scgi_request(&pairs, b"a\0b")));
+    assert_eq!(format!("{over_http:?}"), format!("{over_scgi:?}"));
+    assert_eq!(over_http.patience, Some(Duration::from_millis(480)));
+    assert_eq!((&over_http.body[..], over_http.key.as_deref()), (&b"a\0b"[..], Some("5c0f")));
+}
+
+#[rstest]
+#[case::no_http("GARBAGE\r\n\r\n".into(), 400)]
+#[case::length_no_number(http("POST /do/a", "Content-Length: +3\r\n", "abc"), 400)]
+#[case::two_lengths(http("POST /do/a", "Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"), 400)]
+#[case::chunked(http("POST /do/a", "Transfer-Encoding: chunked\r\n", ""), 411)]
+#[case::large_body(http("POST /do/a", "Content-Length: 2049\r\n", ""), 413)]
+#[case::huge_length(http("POST /do/a", "Content-Length: 99999999999999999999\r\n", ""), 400)]
+#[case::large_head(http("POST /do/a", &format!("X-Pad: {}\r\n", "x".repeat(9000)), ""), 431)]
+#[case::many_fields(http("POST /do/a", &"X-Pad: 1\r\n".repeat(80), ""), 431)]
+#[case::rank(http("POST /do/a", "X-Rank: 1.0\r\n", ""), 400)]
+#[case::size(http("POST /do/a", "X-Memory-Kb: 0\r\n", ""), 400)]
+#[case::size_nan(http("POST /do/a", "X-Memory-Kb: NaN\r\n", ""), 400)]
+#[case::timeout(http("POST /do/a", "X-Timeout-Ms: -5\r\n", ""), 400)]
+#[case::id(http("POST /do/a", "X-Request-Id: 12\r\n", ""), 400)]
+#[case::path(http("POST /nowhere", "", ""), 404)]
+#[case::method(http("DELETE /do/a", "", ""), 405)]
+#[case::no_id(b"POST /do/a HTTP/1.1\r\n\r\n".to_vec(), 400)]
+fn bad_http_is_told_what_is_wrong(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    assert_eq!(Http.parse(&bytes).unwrap_err().status, status);
+}
+
+#[rstest]
+#[case::no_length(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 400)]
+#[case::leading_zero(b"012:".to_vec(), 400)]
+#[case::endless_digits(b"123456789".to_vec(), 400)]
+#[case::large(b"9999:".to_vec(), 431)]
+#[case::length_lies_low(b"9:CONTENT_LENGTH\x000\0SCGI\x001\0,".to_vec(), 400)]
+#[case::no_scgi(b"17:CONTENT_LENGTH\x000\0,".to_vec(), 400)]
+#[case::length_not_first(b"24:SCGI\x001\0CONTENT_LENGTH\x000\0,".to_vec(), 400)]
+#[case::no_value(b"22:CONTENT_LENGTH\x000\0SCGI\0,".to_vec(), 400)]
+#[case::not_ended(b"18:CONTENT_LENGTH\x000\0S,".to_vec(), 400)]
+#[case::large_body(scgi_request(&[], &[0; 2049]), 413)]
+#[case::long_body([scgi_request(&[], b"abc"), b"d".to_vec()].concat(), 400)]
+#[case::length_twice(scgi_request(&[("CONTENT_LENGTH", "3")], b"abc"), 400)]
+fn bad_scgi_is_told_what_is_wrong(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    assert_eq!(Scgi.parse(&bytes).unwrap_err().status, status);
+}
+
+#[rstest]
+#[case("/check", false)]
+#[case("/check?deep=1", true)]
+fn a_check_tells_how_deep_it_goes(#[case] target: &str, #[case] is_deep: bool) {
+    let message = Http.parse(format!("GET {target} HTTP/1.1\r\n\r\n").as_bytes()).unwrap().unwrap();
+    assert!(matches!(message.parsed, Parsed::Check { deep } if deep == is_deep));
+}
+
+#[test]
+fn a_refusal_says_the_same_on_both_fronts() {
+    let verdict = Verdict::Refused { retry_after: Duration::from_millis(250), no_retry: true };
+    let answer = Answer { verdict, signal: Some(0.25), close: false };
+    let fields = "X-Load-Signal: 0.2500\r\nRetry-After-Ms: 250\r\nX-Dont-Retry: 1\r\n";
+    let http = format!("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{fields}\r\n");
+    assert_eq!(String::from_utf8(Http.encode(&answer, false)).unwrap(), http);
+    let scgi = format!("Status: 503 Service Unavailable\r\nContent-Length: 0\r\n{fields}\r\n");
+    assert_eq!(String::from_utf8(Scgi.encode(&answer, true)).unwrap(), scgi);
+    let bad = String::from_utf8(Http.encode_bad(Bad { status: 413, reason: "x" })).unwrap();
+    assert!(bad.starts_with("HTTP/1.1 413 ") && bad.contains("Connection: close\r\n"), "{bad}");
+}
+
+#[rstest]
+#[case(b"Status: 200 OK\r\nContent-Length: 2\r\n\r\nhi", End::Complete)]
+#[case(b"Content-Type: a/b\n\nhi", End::Complete)]
+#[case(b"Status: 200 OK\r\nContent-Length: 5\r\n\r\nhi", End::Broken)]
+#[case(b"Status: 200 OK\r\nContent-", End::Broken)]
+#[case(b"", End::Broken)]
+#[case(b"Status: 200 OK\r\nContent-Length: 1\r\n\r\nhi", End::Malformed)]
+#[case(b"Status: what\r\n\r\n", End::Malformed)]
+#[case(b"Status: 503 Busy\r\n\r\n", End::NotNow)]
+#[case(b"Status: 500 Oops\r\n\r\n", End::Failed)]
+fn an_answer_of_a_service_ends_one_way(#[case] bytes: &[u8], #[case] end: End) {
+    let (ended, body) = scgi::parse_response(bytes);
+    assert_eq!(ended, end);
+    assert_eq!(body.as_deref(), (end == End::Complete).then_some(&b"hi"[..]));
+}
+
+#[test]
+fn commands_and_notices_of_the_agent() {
+    let handle = "9b1f03aa5c7e2d41".parse().unwrap();
+    let mut out = String::new();
+    let arg = Arc::from(*b"\xff\0");
+    let patience = Duration::ZERO;
+    agent::encode(&Command::Launch { handle, class: 1, arg, patience }, &["a".into(), "b".into()], &mut out);
+    agent::encode(&Command::Forgo { handle, cursor: 9 }, &[], &mut out);
+    let launch = r#"{"event":"launch","handle":"9b1f03aa5c7e2d41","entry":"b","arg":"/wA="}"#;
+    assert_eq!(
+        out,
+        format!("{launch}\n{{\"event\":\"forgo\",\"handle\":\"9b1f03aa5c7e2d41\",\"cursor\":9}}\n")
+    );
+    let line = r#"{"event":"outcome","cursor":7,"handle":"9b1f03aa5c7e2d41","fate":"complete","lasted":12.5,"arg":"/wA=","new":1}"#;
+    let (cursor, notice) = agent::parse(line).unwrap();
+    let Some(Notice::Outcome { end, lasted, result, .. }) = notice else { panic!("{notice:?}") };
+    assert_eq!((cursor, end, lasted), (Some(7), End::Complete, Some(Duration::from_micros(12_500))));
+    assert_eq!(result.as_deref(), Some(&b"\xff\0"[..]));
+    assert!(agent::parse(r#"{"event":"aside","cursor":8,"fate":"x"}"#).unwrap().1.is_none());
+    assert!(agent::parse(r#"{"event":"outcome","fate":"odd"}"#).is_err() && agent::parse("{").is_err());
+}
+
+#[rstest]
+#[case("9b1f03aa5c7e2d41 yes 140", Ok((End::Complete, Some(140))))]
+#[case("9b1f03aa5c7e2d41 notnow", Ok((End::NotNow, None)))]
+#[case("9b1f03aa5c7e2d41 overdue", Ok((End::Overdue, None)))]
+#[case("9b1f03aa5c7e2d41 yes", Err(End::Malformed))]
+#[case("9b1f03aa5c7e2d41 yes 99999999", Err(End::Malformed))]
+#[case("9b1f yes 1", Err(End::Malformed))]
+#[case("9b1f03aa5c7e2d41 maybe", Err(End::Malformed))]
+fn replies_of_the_vault(#[case] line: &str, #[case] read: Result<(End, Option<usize>), End>) {
+    assert_eq!(vault::parse_reply(line).map(|(_, end, len)| (end, len)), read);
+}
+
+#[test]
+fn a_call_and_a_report_in_bytes() {
+    let ask = vault::encode_ask("9b1f03aa5c7e2d41".parse().unwrap(), Duration::from_micros(250_900), b"x\ry");
+    assert_eq!(ask, b"ask 9b1f03aa5c7e2d41 250 3\r\nx\ry\r\n");
+    assert_eq!(control::encode("n3", true), "lease n3 Ready");
+}
+
+#[rstest]
+#[case("\"fall_multiple\": 8.0, ", "", "rules.fall_multiple: is missing")]
+#[case("\"cores\": 6", "\"cores\": 1.5", "specifics.cores: is no whole number of this size")]
+#[case("\"worth\": 10.0", "\"worth\": \"much\"", "profiles[2].worth: is no number")]
+#[case("\"run_factor\": 16.0", "\"run_factor\": -1", "specifics.run_factor: is negative or not finite")]
+#[case("\"run_factor\": 16.0", "\"run_factor\": null", "specifics.run_factor: is missing")]
+fn faulty_settings_name_the_key(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    assert!(SITE.contains(from));
+    assert_eq!(Site::parse(&SITE.replacen(from, to, 1)).unwrap_err().to_string(), says);
+}
+
+#[rstest]
+#[case("RELAY_LISTEN", "nowhere", "RELAY_LISTEN: cannot be read from 'nowhere'")]
+#[case("RELAY_NAME", "two words", "name: must be one word")]
+fn faulty_variables_are_named(#[case] key: &str, #[case] value: &str, #[case] says: &str) {
+    let json = format!(r#"{{"name":"n1","listen":"127.0.0.1:1","settings":{SITE},"unknown":[]}}"#);
+    assert!(Config::parse(&json, &HashMap::new()).is_ok());
+    let vars = HashMap::from([(key.to_string(), value.to_string())]);
+    assert_eq!(Config::parse(&json, &vars).unwrap_err().to_string(), says);
+}
+
+#[test]
+fn the_appliance_is_off_unless_its_file_says_where() {
+    assert_eq!(Appliance::parse("{}").unwrap(), Appliance::default());
+    let on = Appliance::parse(r#"{"scgi": {"listen": "127.0.0.1:4000"}}"#).unwrap();
+    assert_eq!(on.scgi_listen, "127.0.0.1:4000".parse().ok());
+    let wrong = Appliance::parse(r#"{"scgi": {"listen": 4000}}"#).unwrap_err();
+    assert_eq!(wrong.key, "scgi.listen");
+}
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,303 @@
+//! The reducer, fed with inputs and a clock of the test's own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hopwalk::core::*;
+use hopwalk::interface::Outcome;
+use hopwalk::settings::Site;
+use rstest::rstest;
+
+const SITE: &str = include_str!("site.json");
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(1_000_000 + n)
+}
+
+struct Bench {
+    core: Core,
+    conns: u64,
+    /// All that the reducer asked for.
+    done: Vec<Effect>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let core = Core::new(Site::parse(SITE).unwrap(), 1, Duration::from_millis(3200), ms(0)).unwrap();
+        let mut bench = Self { core, conns: 0, done: Vec::new() };
+        bench.notice(0, Notice::Greeting { cold: false, lasted: Duration::from_secs(60) });
+        bench
+    }
+
+    fn step(&mut self, at: u64, inputs: impl IntoIterator<Item = Input>) -> Vec<Effect> {
+        let effects = self.core.step(ms(at), inputs);
+        self.done.extend(effects.clone());
+        effects
+    }
+
+    fn notice(&mut self, at: u64, notice: Notice) -> Vec<Effect> {
+        self.step(at, [Input::Agent(notice)])
+    }
+
+    /// Lets time go by, as the program does: woken for each timer.
+    fn pass(&mut self, until: u64) {
+        while let Some(at) = self.core.next_timer().filter(|at| *at <= ms(until)) {
+            let effects = self.core.step(at, []);
+            self.done.extend(effects);
+        }
+    }
+
+    fn request(&mut self, at: u64, class: &str, key: Option<&str>) -> Input {
+        self.conns += 1;
+        Input::Request(Box::new(Request {
+            conn: self.conns,
+            handle: handle(self.conns),
+            class: class.to_string(),
+            start: ms(at),
+            patience: Some(Duration::from_millis(1500)),
+            caller: 1,
+            size_kb: 40.0,
+            rank: if key.is_some() { 0.8 } else { 0.1 },
+            key: key.map(Arc::from),
+            object: false,
+            body: Arc::from(*b"body"),
+        }))
+    }
+
+    fn send(&mut self, at: u64, class: &str, key: Option<&str>) -> Handle {
+        let request = self.request(at, class, key);
+        self.step(at, [request]);
+        handle(self.conns)
+    }
+
+    fn complete(&mut self, at: u64, handle: Handle, result: &[u8]) {
+        let lasted = Some(Duration::from_millis(20));
+        let result = Some(Arc::from(result));
+        self.notice(at, Notice::Outcome { handle, end: End::Complete, lasted, result });
+    }
+
+    fn answers(&self, conn: u64) -> Vec<&Verdict> {
+        let of = |e: &'_ Effect| matches!(e, Effect::Answer { conn: c, .. } if *c == conn);
+        let answers = self.done.iter().filter(|e| of(e));
+        answers
+            .filter_map(|e| if let Effect::Answer { answer, .. } = e { Some(&answer.verdict) } else { None })
+            .collect()
+    }
+
+    fn launches(&self) -> usize {
+        self.done.iter().filter(|e| matches!(e, Effect::Agent(Command::Launch { .. }))).count()
+    }
+}
+
+fn handle(n: u64) -> Handle {
+    format!("{n:016x}").parse().unwrap()
+}
+
+fn served(result: &[u8]) -> Verdict {
+    Verdict::Served(Arc::from(result))
+}
+
+#[test]
+fn a_request_is_run_and_its_result_goes_back_unchanged() {
+    let mut bench = Bench::new();
+    let handle = bench.send(10, "queue-status", None);
+    let launch =
+        Command::Launch { handle, class: 0, arg: Arc::from(*b"body"), patience: Duration::from_millis(1500) };
+    assert!(bench.done.contains(&Effect::Agent(launch)), "{:?}", bench.done);
+    bench.complete(50, handle, b"\0made");
+    assert_eq!(bench.answers(1), [&served(b"\0made")]);
+}
+
+#[test]
+fn a_repeat_of_a_running_key_waits_for_its_result_and_a_later_one_gets_the_kept_result() {
+    let mut bench = Bench::new();
+    let first = bench.send(10, "lobby-confirm", Some("k"));
+    bench.send(20, "lobby-confirm", Some("k"));
+    bench.complete(60, first, b"once");
+    bench.send(9_000, "lobby-confirm", Some("k"));
+    for conn in 1..=3 {
+        assert_eq!(bench.answers(conn), [&served(b"once")]);
+    }
+    assert_eq!(bench.launches(), 1);
+}
+
+#[test]
+fn tries_of_one_key_that_arrive_together_run_once() {
+    let mut bench = Bench::new();
+    let both = [bench.request(10, "lobby-confirm", Some("k")), bench.request(10, "lobby-confirm", Some("k"))];
+    bench.step(10, both);
+    assert_eq!(bench.launches(), 1);
+}
+
+#[test]
+fn a_key_may_run_again_after_its_window_and_not_before() {
+    let mut bench = Bench::new();
+    let first = bench.send(0, "lobby-confirm", Some("k"));
+    bench.complete(40, first, b"one");
+    bench.pass(16_500);
+    bench.send(16_500, "lobby-confirm", Some("k"));
+    assert_eq!(bench.launches(), 2);
+}
+
+#[test]
+fn a_lost_link_frees_no_key_and_repeats_only_what_is_harmless() {
+    // Guards against a second run: a launch that carries a key may have been carried out unseen.
+    let mut bench = Bench::new();
+    let keyed = bench.send(10, "lobby-confirm", Some("k"));
+    let read = bench.send(11, "queue-status", None);
+    bench.notice(20, Notice::Lost(End::Broken));
+    bench.notice(30, Notice::Greeting { cold: false, lasted: Duration::from_secs(60) });
+    let again = bench.notice(31, Notice::Synced);
+    let launched = |h: Handle| {
+        again.iter().any(|e| matches!(e, Effect::Agent(Command::Launch { handle, .. }) if *handle == h))
+    };
+    assert!(launched(read) && !launched(keyed), "{again:?}");
+    bench.send(40, "lobby-confirm", Some("k"));
+    bench.pass(3_000);
+    assert_eq!(bench.launches(), 3, "one each, and the harmless one again");
+    assert_eq!(bench.answers(1), [&Verdict::Failed]);
+    assert_eq!(bench.answers(3), [&Verdict::Failed]);
+}
+
+#[test]
+fn a_launch_on_the_first_link_is_not_repeated() {
+    // Guards against a launch that went out just before the answer to Sync being sent once more after it.
+    let mut bench = Bench::new();
+    bench.send(10, "queue-status", None);
+    bench.notice(11, Notice::Synced);
+    assert_eq!(bench.launches(), 1);
+}
+
+#[test]
+fn a_run_that_was_proven_not_to_begin_leaves_its_key_free() {
+    let mut bench = Bench::new();
+    let handle = bench.send(10, "lobby-confirm", Some("k"));
+    bench.notice(15, Notice::Outcome { handle, end: End::Refused, lasted: None, result: None });
+    assert!(matches!(bench.answers(1)[..], [Verdict::Refused { .. }]));
+    bench.send(20, "lobby-confirm", Some("k"));
+    assert_eq!(bench.launches(), 2);
+}
+
+#[test]
+fn what_the_agent_never_ends_is_answered_when_due_and_only_once() {
+    let mut bench = Bench::new();
+    let handle = bench.send(0, "queue-status", None);
+    bench.pass(1_600);
+    assert_eq!(bench.answers(1), [&Verdict::Failed]);
+    bench.complete(1_700, handle, b"late");
+    assert_eq!(bench.answers(1).len(), 1);
+}
+
+#[test]
+fn a_request_read_after_its_due_time_is_left_to_the_module() {
+    // Guards against the core's own timer failing what the module would have refused with advice.
+    let mut bench = Bench::new();
+    let request = bench.request(0, "queue-status", None);
+    bench.step(2_000, [request]);
+    assert!(matches!(bench.answers(1)[..], [Verdict::Refused { .. }]), "{:?}", bench.done);
+}
+
+#[test]
+fn a_call_gets_its_reply_delivered_and_a_silent_one_is_given_up() {
+    let mut bench = Bench::new();
+    let asks = |done: &[Effect]| {
+        let call = |e: &_| if let Effect::Call { attempt, .. } = e { Some(*attempt) } else { None };
+        done.iter().rev().find_map(call).expect("a call")
+    };
+    let need = |handle, cursor| Notice::CallNeeded { handle, cursor, body: Arc::from(*b"ask") };
+    let first = bench.send(10, "lobby-confirm", Some("k"));
+    bench.notice(20, need(first, 1));
+    let attempt = asks(&bench.done);
+    let reply: Bytes = Arc::from(*b"reply");
+    bench.step(
+        25,
+        [Input::CallEnded { handle: first, attempt, end: End::Complete, reply: Some(reply.clone()) }],
+    );
+    assert!(bench.done.contains(&Effect::Agent(Command::Deliver { handle: first, arg: reply })));
+
+    let second = bench.send(30, "queue-prefs", None);
+    bench.notice(40, need(second, 7));
+    bench.pass(1_560);
+    assert!(bench.done.contains(&Effect::Uncall { handle: second }));
+    assert_eq!(bench.answers(2), [&Verdict::Failed]);
+
+    let third = bench.send(2_000, "queue-prefs", None);
+    bench.notice(2_010, need(third, 9));
+    for n in 0..3 {
+        let attempt = asks(&bench.done);
+        bench.step(
+            2_020 + n * 300,
+            [Input::CallEnded { handle: third, attempt, end: End::Failed, reply: None }],
+        );
+        bench.pass(2_300 + n * 300);
+    }
+    assert!(
+        bench.done.contains(&Effect::Agent(Command::Forgo { handle: third, cursor: 9 })),
+        "{:?}",
+        bench.done
+    );
+}
+
+#[test]
+fn a_drain_runs_nothing_that_came_after_the_grace_and_ends_when_all_is_answered() {
+    let mut bench = Bench::new();
+    let early = bench.send(10, "queue-status", None);
+    bench.step(100, [Input::Drain]);
+    bench.send(1_500, "queue-status", None);
+    assert_eq!(bench.launches(), 2, "within the grace requests run");
+    bench.pass(2_101);
+    assert!(bench.done.contains(&Effect::StopListening) && !bench.done.contains(&Effect::Leave));
+    bench.send(2_150, "queue-status", None);
+    assert!(matches!(bench.answers(3)[..], [Verdict::Refused { .. }]));
+    bench.complete(2_200, early, b"x");
+    bench.complete(2_210, handle(2), b"y");
+    assert_eq!(bench.launches(), 2);
+    assert!(bench.done.contains(&Effect::Leave));
+}
+
+#[test]
+fn a_burst_costs_one_decision_and_all_of_it_is_answered() {
+    let mut bench = Bench::new();
+    let burst: Vec<_> = (0..300).map(|_| bench.request(10, "queue-status", None)).collect();
+    bench.step(10, burst);
+    bench.pass(2_000);
+    let answered = (1..=300).filter(|conn| bench.answers(*conn).len() == 1).count();
+    assert_eq!(answered, 300);
+    assert!(bench.launches() < 60, "{} launched at once would crowd the cores", bench.launches());
+}
+
+#[rstest]
+#[case("no-such-class", None, Verdict::NoSuchClass)]
+#[case("lobby-confirm", None, Verdict::Invalid("this class needs an Idempotency-Key"))]
+fn what_cannot_be_taken_is_said_so(#[case] class: &str, #[case] key: Option<&str>, #[case] says: Verdict) {
+    let mut bench = Bench::new();
+    bench.send(10, class, key);
+    assert_eq!(bench.answers(1), [&says]);
+    assert_eq!((bench.launches(), bench.core.counters().rejected), (0, 1));
+}
+
+#[test]
+fn a_handle_in_use_is_not_taken_twice() {
+    let mut bench = Bench::new();
+    bench.send(10, "queue-status", None);
+    let Input::Request(mut twin) = bench.request(11, "queue-status", None) else { unreachable!() };
+    twin.handle = handle(1);
+    bench.step(11, [Input::Request(twin)]);
+    assert!(matches!(bench.answers(2)[..], [Verdict::Invalid(_)]));
+}
+
+#[rstest]
+#[case(End::NotNow, true)]
+#[case(End::Refused, true)]
+#[case(End::Pointless, true)]
+#[case(End::Unknown, true)]
+#[case(End::Broken, false)]
+#[case(End::Overdue, false)]
+#[case(End::Failed, false)]
+#[case(End::Malformed, false)]
+#[case(End::Stalled, false)]
+#[case(End::Cancelled, false)]
+fn only_proof_counts_as_never_ran(#[case] end: End, #[case] never: bool) {
+    assert_eq!(end.outcome().never_ran(), never);
+    assert_ne!(end.outcome(), Outcome::Done);
+}
--- /dev/null
+++ b/tests/program/main.rs
@@ -0,0 +1,143 @@
+//! The real program, spoken to over sockets as its callers, its agent and its vault do.
+
+mod scgi;
+mod stand_in;
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use stand_in::*;
+
+const QUICK: Duration = Duration::from_millis(5);
+
+fn with_agent(agent: &Agent) -> Setup {
+    Setup { agent: Some(agent.address), vault: Some(vault()), ..Setup::default() }
+}
+
+#[test]
+fn a_request_goes_all_the_way_and_the_connection_stays_open() {
+    let agent = Agent::start(2, QUICK, true);
+    let program = Program::start(with_agent(&agent));
+    let mut stream = connect(program.http);
+    for body in [&b"one"[..], b"\0\xff"] {
+        stream.write_all(&Ask::new("queue-prefs", body).http()).unwrap();
+        let answer = read_answer(&mut stream);
+        assert_eq!((answer.status, answer.body), (200, [b"made:", body, b"reply:", body].concat()));
+    }
+    let launched: Vec<_> = agent.launches().into_iter().map(|(_, entry, arg)| (entry, arg)).collect();
+    assert_eq!(
+        launched,
+        [("queue-prefs".to_string(), b"one".to_vec()), ("queue-prefs".to_string(), b"\0\xff".to_vec())]
+    );
+    assert_eq!((program.counter("served"), program.counter("calls_made")), (2, 2));
+}
+
+#[test]
+fn a_check_is_good_and_reports_reach_the_control_plane() {
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(with_agent(&agent));
+    let check = exchange(program.http, b"GET /check?deep=1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert!(check.status == 200 && check.head.contains("Connection: close"), "{check:?}");
+    let mut bytes = [0; 64];
+    let since = Instant::now();
+    for _ in 0..3 {
+        let len = program.control.recv(&mut bytes).unwrap();
+        assert_eq!(&bytes[..len], b"lease n7 Ready");
+    }
+    assert!(since.elapsed() < Duration::from_secs(3), "an entry would lapse");
+}
+
+#[test]
+fn both_tries_of_a_key_get_the_result_of_one_run() {
+    let agent = Agent::start(2, Duration::from_millis(50), false);
+    let program = Program::start(with_agent(&agent));
+    let mut first = connect(program.http);
+    first.write_all(&Ask::keyed("k", b"x").http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 1);
+    let second = exchange(program.http, &Ask::keyed("k", b"x").http());
+    let third = exchange(program.scgi, &Ask::keyed("k", b"x").scgi());
+    for answer in [read_answer(&mut first), second, third] {
+        assert_eq!((answer.status, answer.body), (200, b"made:x".to_vec()));
+    }
+    assert_eq!(agent.launches().len(), 1);
+}
+
+#[rstest]
+#[case(b"nonsense\r\n\r\n".to_vec(), 400)]
+#[case(Ask::new("no-such-class", b"").http(), 404)]
+#[case(Ask::new("lobby-confirm", b"").http(), 400)]
+#[case(Ask::new("queue-status", &[0; 3000]).http(), 413)]
+#[case(vec![b'x'; 20_000], 431)]
+fn bad_input_is_answered_and_closed_and_harms_nothing(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(with_agent(&agent));
+    let mut stream = connect(program.http);
+    let _ = stream.write_all(&bytes);
+    let answer = read_answer(&mut stream);
+    assert!(answer.status == status && answer.head.contains("Connection: close"), "{answer:?}");
+    assert!(is_closed(&mut stream));
+    assert_eq!(program.counter("rejected"), 1);
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"ok").http()).body, b"made:ok");
+}
+
+#[test]
+fn a_broken_link_is_taken_up_from_the_last_notice_read() {
+    // Guards against a lost request: the outcome of a run falls into the time without a link.
+    let agent = Agent::start(1, Duration::from_millis(300), false);
+    let program = Program::start(with_agent(&agent));
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"a").http()).status, 200);
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::keyed("k", b"b").http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 2);
+    agent.cut();
+    assert_eq!(read_answer(&mut stream).body, b"made:b");
+    assert_eq!(agent.subscribed(), [0, 1]);
+    assert_eq!((agent.launches().len(), program.counter("links_lost")), (2, 1));
+}
+
+#[test]
+fn a_request_that_no_run_ends_is_answered_by_its_due_time() {
+    let agent = Agent::start(1, Duration::from_secs(60), false);
+    let program = Program::start(with_agent(&agent));
+    let since = Instant::now();
+    let ask = Ask { patience_ms: 1300, ..Ask::new("queue-status", b"") };
+    let answer = exchange(program.http, &ask.http());
+    assert_eq!(answer.status, 500);
+    assert!(since.elapsed() < Duration::from_millis(1450), "{:?}", since.elapsed());
+}
+
+#[test]
+fn a_drain_answers_what_was_read_refuses_the_rest_and_ends_well() {
+    let agent = Agent::start(1, Duration::from_millis(600), false);
+    let mut program = Program::start(with_agent(&agent));
+    let mut early = connect(program.http);
+    early.write_all(&Ask::new("queue-status", b"e").http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 1);
+    program.signal("TERM");
+    program.wait_for_log("leaving");
+    assert_eq!(read_answer(&mut early).body, b"made:e");
+    let mut open = connect(program.http);
+    open.write_all(&Ask::new("queue-status", b"o").http()).unwrap();
+    assert_eq!(read_answer(&mut open).status, 200, "within the grace requests are run");
+    assert!(program.end().success());
+    assert!(std::net::TcpStream::connect(program.http).is_err());
+    program.wait_for_log("counters at exit: taken_in=2");
+    assert!(program.log().contains("served=2"), "{}", program.log());
+}
+
+#[rstest]
+#[case(r#""cores": 6"#, r#""cores": 0"#, "settings: the settings name no cores")]
+#[case(r#""meters""#, r#""meters": 3, "x""#, "settings.specifics.meters: is no list")]
+fn a_bad_configuration_ends_the_program_and_names_the_key(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] says: &str,
+) {
+    let site = include_str!("../site.json").replace(from, to);
+    let config = format!(r#"{{"name":"n","listen":"127.0.0.1:0","agent":"127.0.0.1:1","settings":{site}}}"#);
+    let output = spawn_program(&config, "{}").wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(message.trim_end(), format!("hopwalk: {says}"));
+}
--- /dev/null
+++ b/tests/program/scgi.rs
@@ -0,0 +1,212 @@
+//! The SCGI front, and SCGI calls that the program makes.
+
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::Shutdown;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::stand_in::*;
+
+fn with_application(answer: impl Fn(&str, &[u8]) -> Vec<u8> + Send + Sync + 'static) -> Setup {
+    Setup { application: Some(scgi_service(answer)), ..Setup::default() }
+}
+
+fn echo(_: &str, body: &[u8]) -> Vec<u8> {
+    [b"Status: 200 OK\r\n\r\nran:", body].concat()
+}
+
+#[test]
+fn the_application_runs_a_request_of_either_front() {
+    let program = Program::start(with_application(|block, body| {
+        assert!(block.contains("REQUEST_URI\0/do/queue-status\0"), "{block:?}");
+        echo(block, body)
+    }));
+    let ask = Ask::new("queue-status", b"a\0b");
+    let mut stream = connect(program.scgi);
+    stream.write_all(&ask.scgi()).unwrap();
+    let answer = read_answer(&mut stream);
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"ran:a\0b"[..]));
+    assert!(answer.head.starts_with("Status: 200 OK\r\n") && is_closed(&mut stream));
+    assert_eq!(exchange(program.http, &ask.http()).body, b"ran:a\0b");
+}
+
+#[test]
+fn a_call_below_is_made_over_scgi() {
+    let agent = Agent::start(1, Duration::from_millis(2), true);
+    let below = Some(scgi_service(|_, body| [b"Status: 200 OK\r\n\r\nbelow:", body].concat()));
+    let program = Program::start(Setup { agent: Some(agent.address), below, ..Setup::default() });
+    let answer = exchange(program.scgi, &Ask::keyed("k", b"x").scgi());
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"made:xbelow:x"[..]));
+}
+
+#[rstest]
+#[case::dies_in_its_answer(b"Status: 200 OK\r\nContent-Length: 100\r\n\r\nhalf", 500)]
+#[case::dies_before_it(b"", 500)]
+#[case::fails(b"Status: 500 Oops\r\n\r\n", 500)]
+#[case::talks_nonsense(b"no field here\r\n\r\n", 500)]
+fn an_application_that_breaks_off_may_have_had_its_effect(#[case] said: &'static [u8], #[case] status: u16) {
+    // Guards against a second run: the retry of a key must not reach the application again.
+    let runs = Arc::new(Mutex::new(0));
+    let counted = runs.clone();
+    let program = Program::start(with_application(move |_, _| {
+        *counted.lock().unwrap() += 1;
+        said.to_vec()
+    }));
+    for _ in 0..2 {
+        assert_eq!(exchange(program.scgi, &Ask::keyed("k", b"x").scgi()).status, status);
+    }
+    assert_eq!(*runs.lock().unwrap(), 1);
+}
+
+#[test]
+fn an_application_that_cannot_be_reached_never_ran() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let program = Program::start(Setup { application: Some(gone), ..Setup::default() });
+    for _ in 0..2 {
+        let answer = exchange(program.scgi, &Ask::keyed("k", b"x").scgi());
+        assert!(answer.status == 503 && answer.head.starts_with("Status: 503"), "{answer:?}");
+    }
+    assert_eq!(program.counter("launched"), 2, "the key stays free");
+}
+
+#[rstest]
+#[case::short_body(b"", true)]
+#[case::long_body(b"abcdef", false)]
+fn a_body_of_another_length_is_not_run(#[case] sent: &[u8], #[case] end: bool) {
+    let program = Program::start(with_application(|_, _| panic!("this must not run")));
+    let mut bytes = Ask::new("queue-status", b"abc").scgi();
+    bytes.truncate(bytes.len() - 3);
+    bytes.extend(sent);
+    let mut stream = connect(program.scgi);
+    stream.write_all(&bytes).unwrap();
+    if end {
+        stream.shutdown(Shutdown::Write).unwrap();
+    }
+    assert_eq!(read_answer(&mut stream).status, 400);
+    assert!(is_closed(&mut stream));
+    assert_eq!((program.counter("rejected"), program.counter("launched")), (1, 0));
+}
+
+#[rstest]
+#[case::says_too_much(true)]
+#[case::says_too_little(false)]
+fn a_lying_header_length_in_the_drain_window_holds_nothing_up(#[case] too_much: bool) {
+    let mut program = Program::start(with_application(echo));
+    program.signal("TERM");
+    program.wait_for_log("leaving");
+    let mut bytes = Ask::new("queue-status", b"").scgi();
+    let digits = bytes.iter().position(|b| *b == b':').unwrap();
+    let len: usize = std::str::from_utf8(&bytes[..digits]).unwrap().parse().unwrap();
+    let lie = if too_much { len + 40 } else { len - 40 };
+    bytes.splice(..digits, lie.to_string().into_bytes());
+    let mut liar = connect(program.scgi);
+    liar.write_all(&bytes).unwrap();
+    let honest = exchange(program.scgi, &Ask::new("queue-status", b"h").scgi());
+    assert_eq!((honest.status, &honest.body[..]), (200, &b"ran:h"[..]));
+    let answer = read_answer(&mut liar);
+    assert_eq!(answer.status, if too_much { 408 } else { 400 });
+    assert!(program.end().success());
+    program.wait_for_log("counters at exit: taken_in=1 checks=0 rejected=1 ");
+}
+
+#[test]
+fn a_caller_that_stops_reading_halfway_holds_up_nobody() {
+    let program = Program::start(with_application(|_, _| {
+        [b"Status: 200 OK\r\n\r\n".to_vec(), vec![b'x'; 4096]].concat()
+    }));
+    let mut stalled: Vec<_> = (0..20).map(|_| connect(program.scgi)).collect();
+    for stream in &mut stalled {
+        stream.write_all(&Ask::new("queue-status", b"").scgi()).unwrap();
+    }
+    for stream in &mut stalled {
+        // Half of the answer is read, and nothing after it.
+        stream.read_exact(&mut [0; 2000]).unwrap();
+    }
+    let since = Instant::now();
+    assert_eq!(exchange(program.scgi, &Ask::new("queue-status", b"").scgi()).body.len(), 4096);
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"").http()).body.len(), 4096);
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    drop(stalled);
+    assert_eq!((program.counter("taken_in"), program.counter("served")), (22, 22));
+}
+
+/// What one front's callers got.
+#[derive(Debug, Default)]
+struct Got {
+    served: usize,
+    refused: usize,
+    failed: usize,
+    worst: Duration,
+}
+
+#[test]
+fn both_fronts_get_the_same_service_at_one_and_a_half_times_the_capacity() {
+    // Two cores of 20 ms a run make 100 a second; each front asks for 75 a second for four seconds.
+    const EACH: usize = 300;
+    const GAP: Duration = Duration::from_micros(13_333);
+    const PATIENCE_MS: u64 = 600;
+    /// The bound: the two shares of served requests lie this close together.
+    const BOUND: f64 = 0.10;
+    let agent = Agent::start(2, Duration::from_millis(20), false);
+    let site = vec![
+        (r#""cores": 6"#, r#""cores": 2"#),
+        (r#""promise_us": 1800000"#, r#""promise_us": 400000"#),
+        (r#""give_up_us": 4500000"#, r#""give_up_us": 600000"#),
+    ];
+    let program = Program::start(Setup { agent: Some(agent.address), site, ..Setup::default() });
+    let (http, scgi) = (program.http, program.scgi);
+    let begin = Instant::now();
+    let callers: Vec<_> = (0..2 * EACH)
+        .map(|n| {
+            thread::spawn(move || {
+                let (on_scgi, at) = (n % 2 == 1, begin + GAP * (n / 2) as u32);
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let mut ask = if n % 10 < 2 {
+                    Ask::keyed(&format!("k{n}"), b"")
+                } else {
+                    Ask::new("queue-status", b"")
+                };
+                (ask.patience_ms, ask.body) = (PATIENCE_MS, n.to_string().into_bytes());
+                let mut stream = connect(if on_scgi { scgi } else { http });
+                let bytes = if on_scgi { ask.scgi() } else { ask.http() };
+                let since = Instant::now();
+                stream.write_all(&bytes).unwrap();
+                let answer = read_answer(&mut stream);
+                let took = since.elapsed();
+                if answer.status == 200 {
+                    assert_eq!(answer.body, [b"made:", &ask.body[..]].concat());
+                }
+                // Whatever came after the one answer would be a second one.
+                let _ = stream.shutdown(Shutdown::Write);
+                assert!(is_closed(&mut stream), "more than one answer");
+                (on_scgi, answer.status, took)
+            })
+        })
+        .collect();
+    let mut got = [Got::default(), Got::default()];
+    for (on_scgi, status, took) in callers.into_iter().map(|c| c.join().unwrap()) {
+        let got = &mut got[usize::from(on_scgi)];
+        got.worst = got.worst.max(took);
+        *match status {
+            200 => &mut got.served,
+            503 => &mut got.refused,
+            _ => &mut got.failed,
+        } += 1;
+    }
+    let share = |got: &Got| got.served as f64 / EACH as f64;
+    let [http, scgi] = &got;
+    assert!((share(http) - share(scgi)).abs() <= BOUND, "{got:?}");
+    // Work is served near the capacity, some is turned away, and every answer comes by its due time.
+    assert!(share(http) > 0.4 && http.refused > 0 && scgi.refused > 0, "{got:?}");
+    assert!(got.iter().all(|g| g.worst < Duration::from_millis(PATIENCE_MS + 100)), "{got:?}");
+    assert_eq!(program.counter("taken_in"), 2 * EACH as u64);
+    let answered = program.counter("served") + program.counter("refused") + program.counter("failed");
+    assert_eq!(answered, 2 * EACH as u64);
+    let launches = agent.launches();
+    let distinct: HashSet<_> = launches.iter().map(|(handle, ..)| handle).collect();
+    assert_eq!(distinct.len(), launches.len(), "a request was run twice");
+}
