--- /dev/null
+++ b/src/acme/client.rs
@@ -0,0 +1,265 @@
+//! One order at an ACME authority, from the account to the certificate.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tinyjson::JsonValue;
+use tracing::debug;
+use ureq::tls::{parse_pem, PemItem, RootCerts, TlsConfig};
+
+use super::challenge::Responder;
+use super::jws::{encode, quote, AccountKey};
+use super::store::Store;
+use crate::settings::Acme;
+
+/// One exchange with the authority takes no longer.
+const EXCHANGE_PATIENCE: Duration = Duration::from_secs(20);
+/// An order that the authority does not end in this time has failed.
+const ORDER_PATIENCE: Duration = Duration::from_secs(120);
+/// Waits between two looks at the same resource, unless the authority names one.
+const POLL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
+/// Tries of one request whose nonce is not accepted.
+const NONCE_TRIES: u32 = 5;
+/// The longest answer of an authority.
+const MOST_BODY: u64 = 256 << 10;
+
+/// An answer of the authority.
+struct Answer {
+    status: u16,
+    location: Option<String>,
+    nonce: Option<String>,
+    retry_after: Option<Duration>,
+    body: String,
+}
+
+impl Answer {
+    fn json(&self) -> Result<Object, String> {
+        let json = self.body.parse::<JsonValue>().map_err(|e| format!("the authority sent no JSON: {e}"))?;
+        match json {
+            JsonValue::Object(members) => Ok(Object(members)),
+            _ => Err("the authority sent no JSON object".to_string()),
+        }
+    }
+}
+
+/// A JSON object of the authority.
+struct Object(HashMap<String, JsonValue>);
+
+impl Object {
+    fn text(&self, key: &str) -> Result<&str, String> {
+        let text = self.0.get(key).and_then(|v| v.get::<String>());
+        text.map(String::as_str).ok_or_else(|| format!("the authority's answer lacks '{key}'"))
+    }
+
+    fn list(&self, key: &str) -> &[JsonValue] {
+        self.0.get(key).and_then(|v| v.get::<Vec<JsonValue>>()).map_or(&[], Vec::as_slice)
+    }
+
+    /// What went wrong, as the authority words it.
+    fn problem(&self) -> String {
+        let text = |key| self.text(key).unwrap_or_default();
+        format!("{} {}", text("type"), text("detail")).trim().to_string()
+    }
+}
+
+/// A client of one authority.
+pub(super) struct Client {
+    agent: ureq::Agent,
+}
+
+/// An account at work on an order.
+struct Session<'a> {
+    client: &'a Client,
+    key: AccountKey,
+    kid: Option<String>,
+    new_nonce: String,
+    nonce: Option<String>,
+    until: Instant,
+}
+
+impl Client {
+    pub(super) fn new(settings: &Acme) -> Result<Self, String> {
+        let mut tls = TlsConfig::builder();
+        if let Some(path) = &settings.roots {
+            let pem = std::fs::read(path).map_err(|e| format!("roots: {}: {e}", path.display()))?;
+            let mut roots = Vec::new();
+            for item in parse_pem(&pem) {
+                if let PemItem::Certificate(root) = item.map_err(|e| format!("roots: {e}"))? {
+                    roots.push(root);
+                }
+            }
+            tls = tls.root_certs(RootCerts::Specific(Arc::new(roots)));
+        }
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(EXCHANGE_PATIENCE))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .user_agent(concat!("hopwalk/", env!("CARGO_PKG_VERSION")))
+            .tls_config(tls.build());
+        Ok(Self { agent: config.build().new_agent() })
+    }
+
+    /// Orders a certificate; returns its key and chain in PEM.
+    pub(super) fn order(&self, settings: &Acme, store: &Store) -> Result<String, String> {
+        let key = AccountKey::from_pkcs8(&store.account(AccountKey::generate)?)?;
+        let directory = self.get(&settings.directory)?.json()?;
+        let until = Instant::now() + ORDER_PATIENCE;
+        let new_nonce = directory.text("newNonce")?.to_string();
+        let mut session = Session { client: self, key, kid: None, new_nonce, nonce: None, until };
+
+        let contact =
+            settings.contact.as_ref().map_or(String::new(), |c| format!(r#""contact":[{}],"#, quote(c)));
+        let account = format!(r#"{{{contact}"termsOfServiceAgreed":true}}"#);
+        let account = session.post(directory.text("newAccount")?, &account)?;
+        session.kid = Some(account.location.ok_or("the authority names no account")?);
+
+        let names: Vec<_> =
+            settings.domains.iter().map(|d| format!(r#"{{"type":"dns","value":{}}}"#, quote(d))).collect();
+        let order = format!(r#"{{"identifiers":[{}]}}"#, names.join(","));
+        let order = session.post(directory.text("newOrder")?, &order)?;
+        let at = order.location.clone().ok_or("the authority names no order")?;
+        let order = order.json()?;
+
+        let responder = Responder::start(settings.challenge_listen)
+            .map_err(|e| format!("challenge_listen: {}: {e}", settings.challenge_listen))?;
+        for authorization in order.list("authorizations") {
+            let url = authorization.get::<String>().ok_or("an authorization has no address")?;
+            session.authorize(url, &responder)?;
+        }
+        drop(responder);
+
+        let pair = rcgen::KeyPair::generate().map_err(|e| format!("a key: {e}"))?;
+        let params =
+            rcgen::CertificateParams::new(settings.domains.clone()).map_err(|e| format!("names: {e}"))?;
+        let csr = params.serialize_request(&pair).map_err(|e| format!("a signing request: {e}"))?;
+        // An order may need a moment between its last authorization and the request to sign.
+        session.poll(&at, |status| matches!(status, "ready" | "valid"))?;
+        session.post(order.text("finalize")?, &format!(r#"{{"csr":"{}"}}"#, encode(csr.der())))?;
+        let order = session.poll(&at, |status| status == "valid")?;
+        let chain = session.post(order.text("certificate")?, "")?;
+        Ok(pair.serialize_pem() + &chain.body)
+    }
+
+    fn get(&self, url: &str) -> Result<Answer, String> {
+        let answer = read(self.agent.get(url).call(), url)?;
+        match answer.status {
+            200..=299 => Ok(answer),
+            status => Err(format!("{url}: status {status}")),
+        }
+    }
+}
+
+fn read(
+    response: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    url: &str,
+) -> Result<Answer, String> {
+    let mut response = response.map_err(|e| format!("{url}: {e}"))?;
+    let field = |name: &str| {
+        let value = response.headers().get(name).and_then(|v| v.to_str().ok());
+        value.map(str::to_string)
+    };
+    let (location, nonce) = (field("location"), field("replay-nonce"));
+    let retry_after = field("retry-after").and_then(|s| s.parse().ok()).map(Duration::from_secs);
+    let body = response.body_mut().with_config().limit(MOST_BODY).read_to_string();
+    let body = body.map_err(|e| format!("{url}: {e}"))?;
+    Ok(Answer { status: response.status().as_u16(), location, nonce, retry_after, body })
+}
+
+impl Session<'_> {
+    fn fresh_nonce(&mut self) -> Result<String, String> {
+        if let Some(nonce) = self.nonce.take() {
+            return Ok(nonce);
+        }
+        let answer = read(self.client.agent.head(&self.new_nonce).call(), &self.new_nonce)?;
+        answer.nonce.ok_or_else(|| "the authority gives no nonce".to_string())
+    }
+
+    /// A signed request. A nonce that is not accepted costs another try with the one that came back.
+    fn post(&mut self, url: &str, payload: &str) -> Result<Answer, String> {
+        for _ in 0..NONCE_TRIES {
+            self.in_time()?;
+            let nonce = self.fresh_nonce()?;
+            let identity = match &self.kid {
+                Some(kid) => format!(r#""kid":{}"#, quote(kid)),
+                None => format!(r#""jwk":{}"#, self.key.jwk()),
+            };
+            let body = self.key.sign(&identity, &nonce, url, payload)?;
+            let request = self.client.agent.post(url).header("content-type", "application/jose+json");
+            let answer = read(request.send(body), url)?;
+            self.nonce = answer.nonce.clone();
+            if (200..300).contains(&answer.status) {
+                return Ok(answer);
+            }
+            let problem = answer.json().map_or_else(|_| String::new(), |json| json.problem());
+            if !problem.starts_with("urn:ietf:params:acme:error:badNonce") {
+                return Err(format!("{url}: status {} {problem}", answer.status));
+            }
+            debug!("the authority wants another nonce");
+        }
+        Err(format!("{url}: no nonce is accepted"))
+    }
+
+    fn in_time(&self) -> Result<(), String> {
+        match Instant::now() < self.until {
+            true => Ok(()),
+            false => Err("the authority takes too long".to_string()),
+        }
+    }
+
+    /// Looks at a resource until its status is what is waited for; `invalid` ends the order.
+    fn poll(&mut self, url: &str, there: impl Fn(&str) -> bool) -> Result<Object, String> {
+        let mut wait = POLL.0;
+        loop {
+            let answer = self.post(url, "")?;
+            let json = answer.json()?;
+            let status = json.text("status")?;
+            if there(status) {
+                return Ok(json);
+            }
+            if !matches!(status, "pending" | "processing" | "ready") {
+                return Err(failure(status, &json));
+            }
+            std::thread::sleep(answer.retry_after.unwrap_or(wait).min(POLL.1));
+            wait = (wait * 2).min(POLL.1);
+        }
+    }
+
+    fn authorize(&mut self, url: &str, responder: &Responder) -> Result<(), String> {
+        let authorization = self.post(url, "")?.json()?;
+        if authorization.text("status")? == "valid" {
+            return Ok(());
+        }
+        let is_http = |c: &&JsonValue| match c {
+            JsonValue::Object(c) => {
+                c.get("type").and_then(|t| t.get::<String>()).is_some_and(|t| t == "http-01")
+            }
+            _ => false,
+        };
+        let challenge = authorization.list("challenges").iter().find(is_http);
+        let Some(JsonValue::Object(challenge)) = challenge else {
+            return Err("the authority offers no http-01 challenge".to_string());
+        };
+        let challenge = Object(challenge.clone());
+        let token = challenge.text("token")?;
+        responder.put(token, self.key.authorization(token));
+        self.post(challenge.text("url")?, "{}")?;
+        self.poll(url, |status| status == "valid").map(drop)
+    }
+}
+
+/// Why an authorization or an order failed; an authorization words it in its challenges.
+fn failure(status: &str, json: &Object) -> String {
+    let of = |value: &JsonValue| match value {
+        JsonValue::Object(members) => Some(Object(members.clone()).problem()),
+        _ => None,
+    };
+    let of_challenge = |value: &JsonValue| match value {
+        JsonValue::Object(members) => members.get("error").and_then(of),
+        _ => None,
+    };
+    let why = json.0.get("error").and_then(of);
+    let why = why.or_else(|| json.list("challenges").iter().find_map(of_challenge));
+    format!("the authority says '{status}': {}", why.unwrap_or_default())
+}
--- /dev/null
+++ b/src/acme/mod.rs
@@ -0,0 +1,170 @@
+//! Certificates by ACME (RFC 8555, http-01): ordered, kept in private storage, renewed before they expire.
+//!
+//! All of it runs in one thread of its own. An authority that fails costs a later attempt and nothing else:
+//! the certificate at hand stays in use.
+
+mod challenge;
+mod client;
+mod jws;
+mod store;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use tracing::{info, warn};
+
+use crate::settings::Acme;
+pub use store::{Certificate, Store};
+
+/// A certificate is renewed when this part of its life is left.
+const RENEW_PART: u32 = 3;
+/// The longest wait between two attempts.
+const MOST_BACKOFF: Duration = Duration::from_secs(6 * 3600);
+/// The time until the next look at the certificate at hand; the clock may have been set meanwhile.
+const LOOK: Duration = Duration::from_secs(3600);
+
+/// What is known about the certificate.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// The one in use.
+    pub certificate: Option<Arc<Certificate>>,
+    /// Orders that went well since the start.
+    pub orders: u64,
+    /// Attempts that failed since the last one that went well, and why the last of them did.
+    pub failures: u32,
+    /// Why the last attempt failed.
+    pub last_error: Option<String>,
+}
+
+/// The state, shared with what uses it.
+#[derive(Clone, Default)]
+pub struct Shared(Arc<Mutex<State>>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The state as it is.
+    pub fn get(&self) -> State {
+        self.lock().clone()
+    }
+
+    /// Lines for the console.
+    pub fn describe(&self) -> Vec<(String, String)> {
+        let state = self.get();
+        let line = |name: &str, value: String| (name.to_string(), value);
+        let mut lines = match &state.certificate {
+            None => vec![line("certificate", "none".to_string())],
+            Some(certificate) => {
+                let left = certificate.not_after.duration_since(SystemTime::now()).unwrap_or_default();
+                let name = if left.is_zero() { "expired" } else { "valid" };
+                vec![
+                    line("certificate", name.to_string()),
+                    line("names", certificate.names.join(" ")),
+                    line("hours_left", (left.as_secs() / 3600).to_string()),
+                ]
+            }
+        };
+        lines.push(line("orders", state.orders.to_string()));
+        lines.push(line("failures", state.failures.to_string()));
+        lines.extend(state.last_error.map(|e| line("last_error", e)));
+        lines
+    }
+}
+
+/// Loads what is stored, and keeps the certificate fresh from then on.
+pub fn start(settings: Acme, shared: Shared) -> Result<(), String> {
+    let store = Store::open(&settings.store).map_err(|e| format!("acme.store: {e}"))?;
+    match store.certificate() {
+        Ok(certificate) => shared.lock().certificate = certificate.map(Arc::new),
+        // What cannot be read is ordered anew.
+        Err(e) => warn!("the stored certificate cannot be used: {e}"),
+    }
+    let client = client::Client::new(&settings).map_err(|e| format!("acme: {e}"))?;
+    std::thread::Builder::new()
+        .name("acme".to_string())
+        .spawn(move || keep_fresh(&settings, &store, &client, &shared))
+        .map_err(|e| format!("acme: {e}"))?;
+    Ok(())
+}
+
+fn keep_fresh(settings: &Acme, store: &Store, client: &client::Client, shared: &Shared) {
+    loop {
+        let due = shared.get().certificate.map(|c| renew_at(&c, &settings.domains));
+        let wait = due.and_then(|at| at.duration_since(SystemTime::now()).ok()).unwrap_or_default();
+        if !wait.is_zero() {
+            std::thread::sleep(wait.min(LOOK));
+            continue;
+        }
+        let ordered = client.order(settings, store).and_then(|pem| {
+            let certificate = Certificate::parse(&pem)?;
+            if certificate.not_after <= SystemTime::now() {
+                return Err("the new certificate has expired already".to_string());
+            }
+            store.keep_certificate(&pem).map_err(|e| format!("storage: {e}"))?;
+            Ok(certificate)
+        });
+        match ordered {
+            Ok(certificate) => {
+                info!("a new certificate for {}", certificate.names.join(" "));
+                let soon = renew_at(&certificate, &settings.domains) <= SystemTime::now();
+                let mut state = shared.lock();
+                state.certificate = Some(Arc::new(certificate));
+                state.orders += 1;
+                (state.failures, state.last_error) = (0, None);
+                drop(state);
+                // An authority whose certificates are due at once is not asked in a tight loop.
+                if soon {
+                    std::thread::sleep(settings.retry);
+                }
+            }
+            Err(error) => {
+                warn!("no new certificate: {error}");
+                let mut state = shared.lock();
+                state.failures = state.failures.saturating_add(1);
+                state.last_error = Some(error);
+                let wait = backoff(settings.retry, state.failures);
+                drop(state);
+                std::thread::sleep(wait);
+            }
+        }
+    }
+}
+
+/// When a certificate is to be renewed; at once if it is for other names than are wanted.
+fn renew_at(certificate: &Certificate, domains: &[String]) -> SystemTime {
+    if domains.iter().any(|domain| !certificate.names.contains(domain)) {
+        return SystemTime::UNIX_EPOCH;
+    }
+    let life = certificate.not_after.duration_since(certificate.not_before).unwrap_or_default();
+    certificate.not_after - life / RENEW_PART
+}
+
+/// The wait after so many failures in a row: doubled each time, up to a limit.
+fn backoff(first: Duration, failures: u32) -> Duration {
+    let doubled = first.saturating_mul(1 << failures.saturating_sub(1).min(20));
+    doubled.min(MOST_BACKOFF.max(first))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_wait_doubles_up_to_its_limit() {
+        let first = Duration::from_secs(60);
+        let waits: Vec<_> = [1, 2, 3, 30, u32::MAX].map(|n| backoff(first, n).as_secs()).to_vec();
+        assert_eq!(waits, [60, 120, 240, 21_600, 21_600]);
+    }
+
+    #[test]
+    fn a_certificate_is_renewed_with_a_third_of_its_life_left_or_for_other_names() {
+        let at = |s| SystemTime::UNIX_EPOCH + Duration::from_secs(s);
+        let names = vec!["a.example".to_string()];
+        let certificate =
+            Certificate { names: names.clone(), not_before: at(0), not_after: at(900), pem: String::new() };
+        assert_eq!(renew_at(&certificate, &names), at(600));
+        assert_eq!(renew_at(&certificate, &["b.example".to_string()]), at(0));
+    }
+}
--- /dev/null
+++ b/src/acme/store.rs
@@ -0,0 +1,111 @@
+//! Private storage: a folder that only its owner enters, files that are replaced whole or not at all.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::CertificateDer;
+use x509_parser::extensions::GeneralName;
+
+/// The account's key, in PKCS #8.
+const ACCOUNT: &str = "account.key";
+/// The certificate's key and its chain, in one file so that they change together.
+const CERTIFICATE: &str = "certificate.pem";
+
+/// A certificate with its key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Certificate {
+    /// The names that it is for.
+    pub names: Vec<String>,
+    /// From when it is valid.
+    pub not_before: SystemTime,
+    /// Until when it is valid.
+    pub not_after: SystemTime,
+    /// The key and the chain.
+    pub pem: String,
+}
+
+impl Certificate {
+    /// Reads a key and a chain; the first certificate of the chain is the one that counts.
+    pub fn parse(pem: &str) -> Result<Self, String> {
+        let der =
+            CertificateDer::from_pem_slice(pem.as_bytes()).map_err(|e| format!("no certificate: {e}"))?;
+        let (_, x509) =
+            x509_parser::parse_x509_certificate(&der).map_err(|e| format!("the certificate: {e}"))?;
+        let at = |seconds: i64| {
+            SystemTime::UNIX_EPOCH + Duration::from_secs(u64::try_from(seconds).unwrap_or_default())
+        };
+        let named = x509.subject_alternative_name().map_err(|e| format!("the certificate's names: {e}"))?;
+        let named = named.map(|n| n.value.general_names.clone()).unwrap_or_default();
+        let names = named.into_iter().filter_map(|name| match name {
+            GeneralName::DNSName(name) => Some(name.to_string()),
+            _ => None,
+        });
+        Ok(Self {
+            names: names.collect(),
+            not_before: at(x509.validity().not_before.timestamp()),
+            not_after: at(x509.validity().not_after.timestamp()),
+            pem: pem.to_string(),
+        })
+    }
+}
+
+/// The folder.
+pub struct Store(PathBuf);
+
+impl Store {
+    /// Makes the folder, if it is not there, and keeps others out of it.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        fs::DirBuilder::new().recursive(true).mode(0o700).create(path)?;
+        fs::set_permissions(path, fs::Permissions::from_mode(0o700))?;
+        Ok(Self(path.to_path_buf()))
+    }
+
+    /// Replaces a file whole: a reader, or a start after a crash, sees the old one or the new one.
+    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let (new, path) = (self.0.join(format!("{name}.new")), self.0.join(name));
+        let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&new)?;
+        file.set_permissions(fs::Permissions::from_mode(0o600))?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&new, &path)?;
+        File::open(&self.0)?.sync_all()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.0.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// The account's key, made by `make` the first time.
+    pub(super) fn account(&self, make: impl FnOnce() -> Result<Vec<u8>, String>) -> Result<Vec<u8>, String> {
+        if let Some(key) = self.read(ACCOUNT).map_err(|e| format!("storage: {e}"))? {
+            return Ok(key);
+        }
+        let key = make()?;
+        self.write(ACCOUNT, &key).map_err(|e| format!("storage: {e}"))?;
+        Ok(key)
+    }
+
+    /// The stored certificate, if there is one.
+    pub fn certificate(&self) -> Result<Option<Certificate>, String> {
+        match self.read(CERTIFICATE).map_err(|e| e.to_string())? {
+            Some(bytes) => {
+                let pem = String::from_utf8(bytes).map_err(|_| "it is no text")?;
+                Certificate::parse(&pem).map(Some)
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// Stores a certificate in place of the former one.
+    pub fn keep_certificate(&self, pem: &str) -> io::Result<()> {
+        self.write(CERTIFICATE, pem.as_bytes())
+    }
+}
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -52,6 +52,10 @@
         self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Notes a try that reached the machine at `start`, and names the one that it repeats.
     pub(super) fn arrived(
         &mut self,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -208,6 +208,16 @@
                 self.call_ended(now, handle, attempt, end, reply);
             }
             Input::Drain => self.drain(now),
+            Input::Query { ticket, query } => {
+                let lines = match query {
+                    Query::Status => self.status(),
+                    Query::Counters => {
+                        let list = self.counters.list().into_iter();
+                        list.map(|(name, n)| (name, n.to_string())).collect()
+                    }
+                };
+                self.effects.push(Effect::Told { ticket, lines });
+            }
             Input::Report => self.effects.push(Effect::Log(format!("counters: {}", self.counters))),
         }
         if !self.events.is_empty() {
@@ -437,6 +447,24 @@
         self.events.push_back(Event::CallEnded { id, outcome, took: now.saturating_sub(began) });
     }
 
+    fn status(&self) -> Vec<(String, String)> {
+        let in_phase = |phase| self.live.values().filter(|l| l.phase == phase).count().to_string();
+        let yes_no = |yes| if yes { "yes" } else { "no" }.to_string();
+        let lines = [
+            ("healthy", yes_no(self.healthy)),
+            ("leaving", yes_no(self.drain.is_some())),
+            ("linked", yes_no(self.link_up)),
+            ("unanswered", self.open.to_string()),
+            ("held", in_phase(Phase::Held)),
+            ("running", in_phase(Phase::Running)),
+            ("at_call", in_phase(Phase::AtCall)),
+            ("joined", in_phase(Phase::Joined)),
+            ("keys", self.keys.len().to_string()),
+            ("signal", self.signal.map_or("none".to_string(), |s| format!("{s:.4}"))),
+        ];
+        lines.into_iter().map(|(name, value)| (name.to_string(), value)).collect()
+    }
+
     fn drain(&mut self, now: Duration) {
         if self.drain.replace(now).is_some() {
             return;
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -101,6 +101,22 @@
     Drain,
     /// The counters are to be printed.
     Report,
+    /// Somebody at the console asks.
+    Query {
+        /// Comes back with the answer.
+        ticket: u64,
+        /// What is asked.
+        query: Query,
+    },
+}
+
+/// What the console may ask the reducer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Query {
+    /// How things are.
+    Status,
+    /// What was counted.
+    Counters,
 }
 
 /// What the agent tells.
@@ -273,4 +289,11 @@
     Leave,
     /// A line for on-call.
     Log(String),
+    /// The answer to a query.
+    Told {
+        /// The query's.
+        ticket: u64,
+        /// Names and values.
+        lines: Vec<(String, String)>,
+    },
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,18 +1,27 @@
-//! One server: configuration, signals, and the reducer's thread.
+//! One server: configuration, signals, and the reducer's thread; or the console's client.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use hopwalk::net::{start_runtime, Node};
-use hopwalk::settings::Config;
+use hopwalk::net::{start_runtime, Handle, Node};
+use hopwalk::settings::{Appliance, Config};
+use hopwalk::{acme, console, settings};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use tracing_subscriber::EnvFilter;
 
-fn run() -> Result<(), String> {
-    let config = Config::from_env().map_err(|e| e.to_string())?;
-    start_runtime();
+const USAGE: &str = "usage: hopwalk                                  one server, set up by RELAY_*\n\
+                    \x20      hopwalk console [--socket PATH] [WORD ...]  speak to one on this machine";
+
+/// Logs go to standard error; nothing is logged for a single request unless it is asked for.
+fn start_log() -> Result<(), String> {
+    let filter = EnvFilter::try_new(settings::log_filter()).map_err(|e| format!("RELAY_LOG: {e}"))?;
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    Ok(())
+}
+
+fn watch_signals(handle: Handle) -> Result<(), String> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
-    let node = Node::start(config)?;
-    let handle = node.handle();
     std::thread::spawn(move || {
         for signal in signals.forever() {
             match signal {
@@ -21,15 +30,44 @@
             }
         }
     });
+    Ok(())
+}
+
+fn serve() -> Result<(), String> {
+    start_log()?;
+    let config = Config::from_env().map_err(|e| e.to_string())?;
+    start_runtime();
+    let node = Node::start(&config)?;
+    watch_signals(node.handle())?;
+    let certificate = acme::Shared::default();
+    if let Some(acme) = config.appliance.acme.clone() {
+        acme::start(acme, certificate.clone())?;
+    }
+    if let Some(path) = &config.appliance.console {
+        let state = std::sync::Arc::new(move || certificate.describe());
+        console::start(path, &config, node.handle(), state)?;
+    }
     node.run();
     Ok(())
 }
 
+fn console_client(words: &[String]) -> Result<(), String> {
+    let (socket, words) = match words {
+        [flag, path, rest @ ..] if flag == "--socket" => (Some(PathBuf::from(path)), rest),
+        _ => (Appliance::from_env().map_err(|e| e.to_string())?.console, words),
+    };
+    let socket = socket.ok_or("console.socket: is not set, and --socket names none")?;
+    console::client(&socket, words)
+}
+
 fn main() -> ExitCode {
-    let filter = tracing_subscriber::EnvFilter::try_from_env("RELAY_LOG")
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    match run() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let done = match words.split_first() {
+        None => serve(),
+        Some((word, rest)) if word == "console" => console_client(rest),
+        Some(_) => Err(USAGE.to_string()),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("hopwalk: {message}");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,7 +25,7 @@
 use may::sync::mpsc as co;
 use tracing::{info, warn};
 
-use crate::core::{Answer, ConnId, Core, Effect, Input};
+use crate::core::{Answer, ConnId, Core, Effect, Input, Query};
 use crate::settings::Config;
 pub use spawn::{spawn, start_runtime};
 
@@ -75,8 +75,13 @@
     most_connections: usize,
     trim_us: AtomicU64,
     closed: AtomicBool,
+    queries: Mutex<HashMap<u64, Sender<Lines>>>,
+    next_query: AtomicU64,
 }
 
+/// Names and values for people.
+type Lines = Vec<(String, String)>;
+
 impl Hub {
     fn new(inbox: Sender<Input>, most_connections: usize) -> Self {
         Self {
@@ -87,6 +92,8 @@
             most_connections,
             trim_us: AtomicU64::new(u64::MAX),
             closed: AtomicBool::new(false),
+            queries: Mutex::default(),
+            next_query: AtomicU64::new(1),
         }
     }
 
@@ -100,6 +107,10 @@
         let _ = self.inbox.send(input);
     }
 
+    fn queries(&self) -> MutexGuard<'_, HashMap<u64, Sender<Lines>>> {
+        self.queries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn ports(&self) -> MutexGuard<'_, HashMap<ConnId, co::Sender<Arc<Answer>>>> {
         self.ports.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -182,6 +193,17 @@
         self.0.push(Input::Drain);
     }
 
+    /// Asks the reducer, and waits for its answer; to be called from threads only.
+    pub fn query(&self, query: Query, patience: Duration) -> Option<Vec<(String, String)>> {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let ticket = self.0.next_query.fetch_add(1, Ordering::Relaxed);
+        self.0.queries().insert(ticket, sender);
+        self.0.push(Input::Query { ticket, query });
+        let lines = receiver.recv_timeout(patience).ok();
+        self.0.queries().remove(&ticket);
+        lines
+    }
+
     /// Has the counters printed.
     pub fn report(&self) {
         self.0.push(Input::Report);
@@ -215,13 +237,13 @@
 
 impl Node {
     /// Binds the fronts and starts the links.
-    pub fn start(config: Config) -> Result<Self, String> {
+    pub fn start(config: &Config) -> Result<Self, String> {
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
         let most = config.sockets.saturating_sub(RESERVED_SOCKETS).max(1);
         let hub = Arc::new(Hub::new(sender, most));
         let classes = config.site.class_names.clone();
-        let core = Core::new(config.site, config.seed, config.stop_after, clock.now())?;
+        let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
         let at = |e: io::Error| format!("listen: {}: {e}", config.listen);
         let bound = listen(config.listen, http::Http, &hub).map_err(at)?;
         info!("{} takes HTTP on {bound}", config.name);
@@ -243,7 +265,7 @@
         };
         let control = Arc::new(AtomicBool::new(true));
         if let Some(address) = config.control {
-            control::start(address, config.listen.ip(), config.name, control.clone());
+            control::start(address, config.listen.ip(), config.name.clone(), control.clone());
         }
         Ok(Self { core, clock, hub, inbox, runner, below, control, listeners })
     }
@@ -317,6 +339,11 @@
             }
             Effect::Leave => info!("all is answered"),
             Effect::Log(text) => info!("{text}"),
+            Effect::Told { ticket, lines } => {
+                if let Some(asker) = self.hub.queries().remove(&ticket) {
+                    let _ = asker.send(lines);
+                }
+            }
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -278,12 +279,39 @@
     pub scgi_application: Option<SocketAddr>,
     /// An SCGI service that takes the calls below.
     pub scgi_below: Option<SocketAddr>,
+    /// The Unix socket of the terminal console.
+    pub console: Option<PathBuf>,
+    /// Certificates.
+    pub acme: Option<Acme>,
+}
+
+/// How certificates are ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Acme {
+    /// The authority's directory.
+    pub directory: String,
+    /// The names that the certificate is for.
+    pub domains: Vec<String>,
+    /// How the authority reaches the operator, as a URL such as `mailto:…`.
+    pub contact: Option<String>,
+    /// The folder that keeps the account's key and the certificate.
+    pub store: PathBuf,
+    /// Where the authority looks for http-01 challenges; from outside this must be port 80.
+    pub challenge_listen: SocketAddr,
+    /// The authority's own root certificates, where the public ones do not do.
+    pub roots: Option<PathBuf>,
+    /// Wait after a first failure; later ones double it.
+    pub retry: Duration,
 }
 
 /// The file that switches the appliance on, unless `RELAY_APPLIANCE` names another.
 pub const APPLIANCE_FILE: &str = "deploy/appliance.json";
 /// Descriptors where no limit is told.
 const DEFAULT_SOCKETS: u32 = 1024;
+/// Wait after a first failed order where it is not told.
+const DEFAULT_RETRY_MS: u32 = 60_000;
+/// What is logged where `RELAY_LOG` does not say.
+const DEFAULT_LOG: &str = "info";
 /// Time from the notice to the kill where it is not told.
 const DEFAULT_STOP_MS: f64 = 3000.0;
 
@@ -291,12 +319,67 @@
     /// Reads the text of such a file.
     pub fn parse(json: &str) -> Result<Self, ConfigError> {
         let json = parse_json(APPLIANCE_FILE, json)?;
-        let scgi = Node::root(&json).at("scgi")?;
+        let root = Node::root(&json);
+        let scgi = root.at("scgi")?;
         let address = |key| scgi.at(key)?.or(None, |n, v| parsed(n, v).map(Some));
+        let console = root.at("console")?;
+        let acme = root.at("acme")?;
         Ok(Self {
             scgi_listen: address("listen")?,
             scgi_application: address("application")?,
             scgi_below: address("below")?,
+            console: match console.value {
+                Some(_) => Some(console.at("socket")?.some(text)?.into()),
+                None => None,
+            },
+            acme: acme.value.map(|_| Acme::read(&acme)).transpose()?,
+        })
+    }
+
+    /// Reads the file that `RELAY_APPLIANCE` names, or the one under `deploy/` if there is one.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        match std::env::var("RELAY_APPLIANCE") {
+            Ok(path) => Self::parse(&read_file("RELAY_APPLIANCE", &path)?),
+            Err(_) if Path::new(APPLIANCE_FILE).exists() => {
+                Self::parse(&read_file(APPLIANCE_FILE, APPLIANCE_FILE)?)
+            }
+            Err(_) => Ok(Self::default()),
+        }
+    }
+}
+
+fn read_file(key: &str, path: &str) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path).map_err(|e| ConfigError::new(key, format!("{path}: {e}")))
+}
+
+impl Acme {
+    fn read(node: &Node) -> Result<Self, ConfigError> {
+        let directory = node.at("directory")?.some(|n, v| {
+            let url = text(n, v)?;
+            // Without TLS anyone on the way could hand out certificates; a loopback has no way.
+            let local = ["http://127.", "http://localhost:", "http://[::1]"];
+            match url.starts_with("https://") || local.iter().any(|l| url.starts_with(l)) {
+                true => Ok(url),
+                false => n.bad("must be an https URL"),
+            }
+        })?;
+        let mut domains = Vec::new();
+        for domain in node.at("domains")?.items()? {
+            domains.push(domain.some(text)?);
+        }
+        if domains.is_empty() {
+            return node.at("domains")?.bad("names no domain");
+        }
+        let path = |n: &Node, v: &JsonValue| text(n, v).map(PathBuf::from);
+        let retry_ms = node.at("retry_ms")?.or(DEFAULT_RETRY_MS, whole)?;
+        Ok(Self {
+            directory,
+            domains,
+            contact: node.at("contact")?.or(None, |n, v| text(n, v).map(Some))?,
+            store: node.at("store")?.some(path)?,
+            challenge_listen: node.at("challenge_listen")?.some(parsed)?,
+            roots: node.at("roots")?.or(None, |n, v| path(n, v).map(Some))?,
+            retry: Duration::from_millis(u64::from(retry_ms.max(1))),
         })
     }
 }
@@ -306,24 +389,49 @@
     pub fn from_env() -> Result<Self, ConfigError> {
         let vars: HashMap<String, String> =
             std::env::vars().filter(|(k, _)| k.starts_with("RELAY_")).collect();
-        let read = |key: &str, path: &str| {
-            std::fs::read_to_string(path).map_err(|e| ConfigError::new(key, format!("{path}: {e}")))
-        };
         let path = vars.get("RELAY_CONFIG").ok_or_else(|| ConfigError::new("RELAY_CONFIG", "is not set"))?;
-        let mut config = Self::parse(&read("RELAY_CONFIG", path)?, &vars)?;
-        match vars.get("RELAY_APPLIANCE") {
-            Some(path) => config.appliance = Appliance::parse(&read("RELAY_APPLIANCE", path)?)?,
-            None if std::path::Path::new(APPLIANCE_FILE).exists() => {
-                config.appliance = Appliance::parse(&read(APPLIANCE_FILE, APPLIANCE_FILE)?)?;
-            }
-            None => {}
-        }
+        let mut config = Self::parse(&read_file("RELAY_CONFIG", path)?, &vars)?;
+        config.appliance = Appliance::from_env()?;
         if config.agent.is_none() && config.appliance.scgi_application.is_none() {
             return Err(ConfigError::new("agent", "is missing, and no scgi.application takes its place"));
         }
         Ok(config)
     }
 
+    /// The configuration in lines, for people.
+    pub fn describe(&self) -> Vec<(String, String)> {
+        let s = &self.site.settings;
+        let address = |at: Option<SocketAddr>| at.map_or("off".to_string(), |at| at.to_string());
+        let a = &self.appliance;
+        let mut lines = vec![
+            ("name", self.name.clone()),
+            ("listen", self.listen.to_string()),
+            ("agent", address(self.agent)),
+            ("vault", address(self.vault)),
+            ("control", address(self.control)),
+            ("stop_ms", self.stop_after.as_millis().to_string()),
+            ("sockets", self.sockets.to_string()),
+            ("cores", s.cores.to_string()),
+            ("memory_kb", s.memory_kb.to_string()),
+            ("scgi.listen", address(a.scgi_listen)),
+            ("scgi.application", address(a.scgi_application)),
+            ("scgi.below", address(a.scgi_below)),
+        ];
+        if let Some(acme) = &a.acme {
+            lines.extend([
+                ("acme.directory", acme.directory.clone()),
+                ("acme.domains", acme.domains.join(" ")),
+                ("acme.store", acme.store.display().to_string()),
+            ]);
+        }
+        let mut lines: Vec<_> = lines.into_iter().map(|(name, value)| (name.to_string(), value)).collect();
+        for (name, class) in self.site.class_names.iter().zip(&s.classes) {
+            let (worth, wanted) = (class.worth, class.wanted.as_millis());
+            lines.push((format!("class {name}"), format!("worth {worth}, wanted within {wanted} ms")));
+        }
+        lines
+    }
+
     /// Reads the JSON file; the variables win over what it says.
     pub fn parse(json: &str, vars: &HashMap<String, String>) -> Result<Self, ConfigError> {
         let json = parse_json("RELAY_CONFIG", json)?;
@@ -369,3 +477,8 @@
         })
     }
 }
+
+/// What is to be logged, in the words of tracing's filter.
+pub fn log_filter() -> String {
+    std::env::var("RELAY_LOG").unwrap_or_else(|_| DEFAULT_LOG.to_string())
+}
--- /dev/null
+++ b/tests/program/appliance.rs
@@ -0,0 +1,128 @@
+//! The console and the certificates, in the real program.
+
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use super::authority::{Authority, Rules};
+use super::stand_in::*;
+
+const MONTHS: Duration = Duration::from_secs(90 * 24 * 3600);
+
+/// A program with a console and, where an authority is given, certificates.
+struct Appliance {
+    program: Program,
+    socket: PathBuf,
+    _agent: Agent,
+}
+
+impl Appliance {
+    fn start(acme: &str) -> Self {
+        let agent = Agent::start(2, Duration::from_millis(5), false);
+        let socket = fresh_path("console.sock");
+        let appliance = format!(r#","console":{{"socket":"{}"}}{acme}"#, socket.display());
+        let program = Program::start(Setup { agent: Some(agent.address), appliance, ..Setup::default() });
+        program.wait_for_log("the console listens");
+        Self { program, socket, _agent: agent }
+    }
+
+    fn console(&self, word: &str) -> Output {
+        let client = Command::new(env!("CARGO_BIN_EXE_hopwalk"))
+            .args(["console", "--socket", self.socket.to_str().unwrap(), word])
+            .output();
+        client.unwrap()
+    }
+
+    /// What the console says under a name.
+    fn says(&self, word: &str, name: &str) -> String {
+        let out = String::from_utf8(self.console(word).stdout).unwrap();
+        let value = out.lines().find_map(|l| l.strip_prefix(&format!("{name}: ")));
+        value.unwrap_or_default().to_string()
+    }
+
+    fn serves(&self) -> bool {
+        exchange(self.program.http, &Ask::new("queue-status", b"x").http()).body == b"made:x"
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn acme(authority: SocketAddr, challenges: SocketAddr, store: &Path) -> String {
+    format!(
+        r#","acme":{{"directory":"http://{authority}/directory","domains":["lobby.example"],"contact":"mailto:a@b.example","store":"{}","challenge_listen":"{challenges}","retry_ms":50}}"#,
+        store.display()
+    )
+}
+
+#[test]
+fn the_console_tells_and_drains() {
+    let mut appliance = Appliance::start("");
+    assert!(appliance.serves());
+    assert_eq!(appliance.says("status", "healthy"), "yes");
+    assert_eq!(appliance.says("counters", "served"), "1");
+    assert_eq!(appliance.says("settings", "name"), "n7");
+    assert_eq!(appliance.says("settings", "class lobby-confirm"), "worth 10, wanted within 1800 ms");
+    assert_eq!(appliance.says("certificate", "certificate"), "none");
+    assert!(!appliance.console("nonsense").status.success());
+    let mode = std::fs::metadata(&appliance.socket).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    assert_eq!(appliance.says("drain", "drain"), "begun");
+    assert!(appliance.program.end().success());
+    appliance.program.wait_for_log("counters at exit: taken_in=1 ");
+}
+
+#[test]
+fn an_order_survives_a_bad_nonce_and_its_certificate_a_restart() {
+    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let authority = Authority::start(challenges, Rules { bad_nonces: 2, life: MONTHS, ..Rules::default() });
+    let first = Appliance::start(&acme(authority.address, challenges, &store));
+    wait_for("a certificate", || first.says("certificate", "certificate") == "valid");
+    assert_eq!(first.says("certificate", "names"), "lobby.example");
+    let mode = |path: &Path| std::fs::metadata(path).unwrap().permissions().mode() & 0o777;
+    let mut files: Vec<_> = std::fs::read_dir(&store).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    assert_eq!(files, [store.join("account.key"), store.join("certificate.pem")]);
+    assert!(mode(&store) == 0o700 && files.iter().all(|f| mode(f) == 0o600));
+    drop(first);
+    let second = Appliance::start(&acme(authority.address, challenges, &store));
+    assert_eq!(second.says("certificate", "certificate"), "valid");
+    assert_eq!((second.says("certificate", "orders").as_str(), authority.orders()), ("0", 1));
+}
+
+#[test]
+fn a_failed_challenge_is_tried_again_later() {
+    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let authority =
+        Authority::start(challenges, Rules { fail_challenges: true, life: MONTHS, ..Rules::default() });
+    let appliance = Appliance::start(&acme(authority.address, challenges, &store));
+    wait_for("a failure", || appliance.says("certificate", "last_error").contains("unauthorized not found"));
+    assert!(appliance.serves() && !store.join("certificate.pem").exists());
+    authority.rules.lock().unwrap().fail_challenges = false;
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+    assert_eq!(appliance.says("certificate", "failures"), "0");
+}
+
+#[test]
+fn an_authority_that_is_down_disturbs_nothing() {
+    let appliance = Appliance::start(&acme(free_address(), free_address(), &fresh_path("acme")));
+    wait_for("failures", || appliance.says("certificate", "failures").parse::<u32>().unwrap() >= 3);
+    assert!(appliance.serves());
+    assert_eq!(appliance.says("status", "healthy"), "yes");
+}
+
+#[test]
+fn a_certificate_is_renewed_before_it_expires() {
+    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let life = Duration::from_secs(6);
+    let authority = Authority::start(challenges, Rules { life, ..Rules::default() });
+    let appliance = Appliance::start(&acme(authority.address, challenges, &store));
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+    wait_for("its renewal", || {
+        assert_eq!(appliance.says("certificate", "certificate"), "valid");
+        appliance.says("certificate", "orders") == "2"
+    });
+}
--- /dev/null
+++ b/tests/program/authority.rs
@@ -0,0 +1,240 @@
+//! A stand-in for an ACME authority, after RFC 8555: it checks nonces, addresses and signatures, looks for
+//! http-01 challenges, and signs what it is sent.
+
+use std::collections::{HashMap, HashSet};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime};
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD as BASE64URL;
+use base64::Engine;
+use ring::digest::{digest, SHA256};
+use ring::signature::{UnparsedPublicKey, ECDSA_P256_SHA256_FIXED};
+use tinyjson::JsonValue;
+
+type Json = HashMap<String, JsonValue>;
+
+#[derive(Default)]
+pub struct Rules {
+    /// So many good nonces are called bad.
+    pub bad_nonces: u32,
+    /// Challenges are failed whatever is found.
+    pub fail_challenges: bool,
+    pub life: Duration,
+}
+
+#[derive(Default)]
+struct Known {
+    nonces: HashSet<String>,
+    next: u64,
+    key: Option<Json>,
+    names: Vec<String>,
+    authorized: Option<bool>,
+    issued: Option<String>,
+    orders: u64,
+}
+
+pub struct Authority {
+    pub address: SocketAddr,
+    pub rules: Arc<Mutex<Rules>>,
+    known: Arc<Mutex<Known>>,
+}
+
+struct Reply(u16, Vec<(&'static str, String)>, String);
+
+fn text(json: &Json, key: &str) -> String {
+    json.get(key).and_then(|v| v.get::<String>()).cloned().unwrap_or_default()
+}
+
+fn object(text: &[u8]) -> Json {
+    let json: JsonValue = std::str::from_utf8(text).unwrap().parse().unwrap();
+    json.get::<Json>().unwrap().clone()
+}
+
+fn problem(kind: &str, detail: &str) -> Reply {
+    Reply(400, vec![], format!(r#"{{"type":"urn:ietf:params:acme:error:{kind}","detail":"{detail}"}}"#))
+}
+
+impl Authority {
+    /// Looks for challenges at `challenges`, in place of port 80 of the name.
+    pub fn start(challenges: SocketAddr, rules: Rules) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let authority = Self { address, rules: Arc::new(Mutex::new(rules)), known: Arc::default() };
+        let (rules, known) = (authority.rules.clone(), authority.known.clone());
+        let key = rcgen::KeyPair::generate().unwrap();
+        let mut params = rcgen::CertificateParams::new(vec![]).unwrap();
+        params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        let root = params.self_signed(&key).unwrap();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let issue = |csr: &[u8], life| issue(csr, life, &root, &key);
+                serve(stream, address, challenges, &rules, &known, issue);
+            }
+        });
+        authority
+    }
+
+    pub fn orders(&self) -> u64 {
+        self.known.lock().unwrap().orders
+    }
+}
+
+fn issue(csr: &[u8], life: Duration, root: &rcgen::Certificate, key: &rcgen::KeyPair) -> String {
+    let mut csr = rcgen::CertificateSigningRequestParams::from_der(&csr.to_vec().into()).unwrap();
+    csr.params.not_before = SystemTime::now().into();
+    csr.params.not_after = (SystemTime::now() + life).into();
+    csr.signed_by(root, key).unwrap().pem() + &root.pem()
+}
+
+fn serve(
+    stream: TcpStream,
+    address: SocketAddr,
+    challenges: SocketAddr,
+    rules: &Mutex<Rules>,
+    known: &Mutex<Known>,
+    issue: impl Fn(&[u8], Duration) -> String,
+) {
+    let (mut reads, mut writes) = (BufReader::new(stream.try_clone().unwrap()), stream);
+    let (mut head, mut len) = (String::new(), 0);
+    while !head.ends_with("\r\n\r\n") {
+        let had = head.len();
+        if reads.read_line(&mut head).unwrap_or(0) == 0 {
+            return;
+        }
+        if let Some(value) = head[had..].to_lowercase().strip_prefix("content-length:") {
+            len = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; len];
+    reads.read_exact(&mut body).unwrap();
+    let path = head.split(' ').nth(1).unwrap().to_string();
+    let base = format!("http://{address}");
+    let (mut rules, mut known) = (rules.lock().unwrap(), known.lock().unwrap());
+    let Reply(status, fields, out) = match path.as_str() {
+        "/directory" => Reply(
+            200,
+            vec![],
+            format!(
+                r#"{{"newNonce":"{base}/nonce","newAccount":"{base}/account","newOrder":"{base}/new","meta":{{}}}}"#
+            ),
+        ),
+        "/nonce" => Reply(200, vec![], String::new()),
+        _ => match open(&body, &format!("{base}{path}"), &mut rules, &mut known) {
+            Ok(payload) => answer(&path, &base, &payload, challenges, &rules, &mut known, issue),
+            Err(reply) => reply,
+        },
+    };
+    known.next += 1;
+    let nonce = format!("nonce{}", known.next);
+    known.nonces.insert(nonce.clone());
+    let fields: String = fields.into_iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    let head = format!("HTTP/1.1 {status} X\r\nReplay-Nonce: {nonce}\r\nConnection: close\r\n{fields}");
+    let _ = writes.write_all(format!("{head}Content-Length: {}\r\n\r\n{out}", out.len()).as_bytes());
+}
+
+/// Checks a signed request and returns what it carries.
+fn open(body: &[u8], url: &str, rules: &mut Rules, known: &mut Known) -> Result<Vec<u8>, Reply> {
+    let jws = object(body);
+    let part = |key: &str| BASE64URL.decode(text(&jws, key)).unwrap();
+    let head = object(&part("protected"));
+    if !known.nonces.remove(&text(&head, "nonce")) {
+        return Err(problem("badNonce", "never given"));
+    }
+    if rules.bad_nonces > 0 {
+        rules.bad_nonces -= 1;
+        return Err(problem("badNonce", "not this one"));
+    }
+    assert_eq!((text(&head, "alg").as_str(), text(&head, "url").as_str()), ("ES256", url));
+    let key = match head.get("jwk").and_then(|k| k.get::<Json>()) {
+        Some(key) => key.clone(),
+        None => {
+            assert!(text(&head, "kid").ends_with("/account/1"), "no known account");
+            known.key.clone().expect("an account")
+        }
+    };
+    let coordinate = |name: &str| BASE64URL.decode(text(&key, name)).unwrap();
+    let point = [vec![4], coordinate("x"), coordinate("y")].concat();
+    let signed = format!("{}.{}", text(&jws, "protected"), text(&jws, "payload"));
+    let verified =
+        UnparsedPublicKey::new(&ECDSA_P256_SHA256_FIXED, point).verify(signed.as_bytes(), &part("signature"));
+    verified.map_err(|_| problem("malformed", "the signature is wrong"))?;
+    known.key = Some(key);
+    Ok(part("payload"))
+}
+
+fn answer(
+    path: &str,
+    base: &str,
+    payload: &[u8],
+    challenges: SocketAddr,
+    rules: &Rules,
+    known: &mut Known,
+    issue: impl Fn(&[u8], Duration) -> String,
+) -> Reply {
+    let order = |known: &Known| {
+        let status = match (&known.issued, known.authorized) {
+            (Some(_), _) => "valid",
+            (None, Some(true)) => "ready",
+            (None, Some(false)) => "invalid",
+            (None, None) => "pending",
+        };
+        format!(
+            r#"{{"status":"{status}","authorizations":["{base}/authz"],"finalize":"{base}/finalize","certificate":"{base}/cert"}}"#
+        )
+    };
+    match path {
+        "/account" => {
+            assert!(object(payload)["termsOfServiceAgreed"].get::<bool>().unwrap());
+            Reply(201, vec![("Location", format!("{base}/account/1"))], "{}".to_string())
+        }
+        "/new" => {
+            let names = object(payload)["identifiers"].get::<Vec<JsonValue>>().unwrap().clone();
+            known.names = names.iter().map(|n| text(n.get::<Json>().unwrap(), "value")).collect();
+            (known.authorized, known.issued) = (None, None);
+            known.orders += 1;
+            Reply(201, vec![("Location", format!("{base}/order"))], order(known))
+        }
+        "/order" => Reply(200, vec![], order(known)),
+        "/authz" => {
+            let (status, error) = match known.authorized {
+                None => ("pending", ""),
+                Some(true) => ("valid", ""),
+                Some(false) => (
+                    "invalid",
+                    r#","error":{"type":"urn:ietf:params:acme:error:unauthorized","detail":"not found"}"#,
+                ),
+            };
+            let http = format!(r#"{{"type":"http-01","url":"{base}/challenge","token":"tok-1"{error}}}"#);
+            let dns = r#"{"type":"dns-01","url":"x","token":"y"}"#;
+            Reply(200, vec![], format!(r#"{{"status":"{status}","challenges":[{dns},{http}]}}"#))
+        }
+        "/challenge" => {
+            let key = known.key.as_ref().unwrap();
+            let jwk =
+                format!(r#"{{"crv":"P-256","kty":"EC","x":"{}","y":"{}"}}"#, text(key, "x"), text(key, "y"));
+            let wanted = format!("tok-1.{}", BASE64URL.encode(digest(&SHA256, jwk.as_bytes())));
+            let found = fetch(challenges, &known.names[0], "/.well-known/acme-challenge/tok-1");
+            known.authorized = Some(found == wanted && !rules.fail_challenges);
+            Reply(200, vec![], r#"{"status":"processing"}"#.to_string())
+        }
+        "/finalize" => {
+            let csr = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
+            known.issued = Some(issue(&csr, rules.life));
+            Reply(200, vec![], order(known))
+        }
+        "/cert" => Reply(200, vec![], known.issued.clone().unwrap()),
+        _ => Reply(404, vec![], "{}".to_string()),
+    }
+}
+
+fn fetch(address: SocketAddr, host: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    answer.split_once("\r\n\r\n").unwrap().1.to_string()
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -1,5 +1,7 @@
 //! The real program, spoken to over sockets as its callers, its agent and its vault do.
 
+mod appliance;
+mod authority;
 mod scgi;
 mod stand_in;
 
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
@@ -234,12 +235,17 @@
     pub appliance: String,
 }
 
-/// Starts the program's binary on configuration texts, without waiting for it.
-pub fn spawn_program(config: &str, appliance: &str) -> Child {
+/// A path in a folder of its own that nothing stands at yet.
+pub fn fresh_path(name: &str) -> PathBuf {
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
     let dir = std::env::temp_dir().join(format!("hopwalk-test-{}-{n}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
-    let (config_file, appliance_file) = (dir.join("config.json"), dir.join("appliance.json"));
+    dir.join(name)
+}
+
+/// Starts the program's binary on configuration texts, without waiting for it.
+pub fn spawn_program(config: &str, appliance: &str) -> Child {
+    let (config_file, appliance_file) = (fresh_path("config.json"), fresh_path("appliance.json"));
     std::fs::write(&config_file, config).unwrap();
     std::fs::write(&appliance_file, appliance).unwrap();
     Command::new(env!("CARGO_BIN_EXE_hopwalk"))
