Serve HTTP under TLS with the certificate that ACME keeps fresh

A certificate that nothing serves with is of little use to a small site, so the appliance's file may name tls.listen. rustls does the work on the same connection code (front.rs is generic over the bytes below); a renewed certificate is taken up without a restart. The platform's path is unchanged. A connection's place is now a guard, so that it is given up however its coroutine ends: a panic there would have kept a drain from ending.

--- a/src/main.rs
+++ b/src/main.rs
@@ -37,9 +37,9 @@
     start_log()?;
     let config = Config::from_env().map_err(|e| e.to_string())?;
     start_runtime();
-    let node = Node::start(&config)?;
-    watch_signals(node.handle())?;
     let certificate = acme::Shared::default();
+    let node = Node::start(&config, certificate.clone())?;
+    watch_signals(node.handle())?;
     if let Some(acme) = config.appliance.acme.clone() {
         acme::start(acme, certificate.clone())?;
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -33,6 +33,22 @@
     fn encode_bad(&self, bad: Bad) -> Vec<u8>;
 }
 
+/// The bytes under a wire: a connection, or TLS on one.
+pub(super) trait Stream: Read + Write {
+    /// The connection itself.
+    fn tcp(&self) -> &TcpStream;
+    /// Tells the other side that nothing more comes.
+    fn end(&mut self);
+}
+
+impl Stream for TcpStream {
+    fn tcp(&self) -> &TcpStream {
+        self
+    }
+
+    fn end(&mut self) {}
+}
+
 /// Why a connection is read no further.
 enum Stop {
     /// It is idle, or the caller closed it.
@@ -42,15 +58,15 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve<W: Wire>(
-    mut stream: TcpStream,
+pub(super) fn serve<S: Stream, W: Wire>(
+    mut stream: S,
     wire: W,
     conn: ConnId,
     answers: &Receiver<Arc<Answer>>,
-    hub: &Arc<Hub>,
+    hub: &Hub,
 ) {
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_write_timeout(Some(WRITE_PATIENCE));
+    let _ = stream.tcp().set_nodelay(true);
+    let _ = stream.tcp().set_write_timeout(Some(WRITE_PATIENCE));
     let mut bytes = Vec::new();
     loop {
         let message = match read_message(&mut stream, wire, &mut bytes, hub) {
@@ -85,7 +101,7 @@
 }
 
 fn read_message<W: Wire>(
-    stream: &mut TcpStream,
+    stream: &mut impl Stream,
     wire: W,
     bytes: &mut Vec<u8>,
     hub: &Hub,
@@ -113,7 +129,7 @@
         }
         // What came while the timer fired is read before the connection is closed as idle.
         last_look = left.is_zero();
-        let _ = stream.set_read_timeout(Some(left.clamp(Duration::from_millis(1), IDLE_LOOK)));
+        let _ = stream.tcp().set_read_timeout(Some(left.clamp(Duration::from_millis(1), IDLE_LOOK)));
         match read_some(stream, bytes) {
             Ok(0) if idle => return Err(Stop::Quiet),
             // The caller may have closed only its own side, and still read.
@@ -126,7 +142,7 @@
     }
 }
 
-pub(super) fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<usize> {
+pub(super) fn read_some(stream: &mut impl Read, bytes: &mut Vec<u8>) -> io::Result<usize> {
     let had = bytes.len();
     bytes.resize(had + CHUNK, 0);
     let read = stream.read(&mut bytes[had..]);
@@ -138,8 +154,8 @@
     matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
 }
 
-fn write(stream: &mut TcpStream, bytes: &[u8], hub: &Hub) -> bool {
-    match stream.write_all(bytes) {
+fn write(stream: &mut impl Stream, bytes: &[u8], hub: &Hub) -> bool {
+    match stream.write_all(bytes).and_then(|()| stream.flush()) {
         Ok(()) => true,
         Err(e) => {
             hub.push(Input::Unsent(if is_timeout(&e) { End::Stalled } else { End::Broken }));
@@ -149,9 +165,10 @@
 }
 
 /// Closes towards the caller, and reads on for a moment.
-fn linger(stream: &mut TcpStream) {
-    let _ = stream.shutdown(Shutdown::Write);
-    let _ = stream.set_read_timeout(Some(LINGER.1));
+fn linger(stream: &mut impl Stream) {
+    stream.end();
+    let _ = stream.tcp().shutdown(Shutdown::Write);
+    let _ = stream.tcp().set_read_timeout(Some(LINGER.1));
     let (mut bytes, mut total, since) = (Vec::new(), 0, Instant::now());
     while total < LINGER.0 && since.elapsed() < LINGER.1 {
         bytes.clear();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod lines;
 pub mod scgi;
 mod spawn;
+mod tls;
 pub mod vault;
 
 use std::collections::HashMap;
@@ -25,8 +26,10 @@
 use may::sync::mpsc as co;
 use tracing::{info, warn};
 
+use crate::acme::Shared;
 use crate::core::{Answer, ConnId, Core, Effect, Input, Query};
 use crate::settings::Config;
+use spawn::spawn_deep;
 pub use spawn::{spawn, start_runtime};
 
 /// Inputs that may wait for the reducer; beyond that, whoever brings more waits.
@@ -116,19 +119,15 @@
     }
 
     /// A place for a new connection, and where its answers come; none if there is no room.
-    fn open(&self) -> Option<(ConnId, co::Receiver<Arc<Answer>>)> {
+    fn open(self: &Arc<Self>) -> Option<Port> {
         let mut ports = self.ports();
         if ports.len() >= self.most_connections {
             return None;
         }
         let conn = self.next_conn.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = co::channel();
+        let (sender, answers) = co::channel();
         ports.insert(conn, sender);
-        Some((conn, receiver))
-    }
-
-    fn close(&self, conn: ConnId) {
-        self.ports().remove(&conn);
+        Some(Port { conn, answers, hub: self.clone() })
     }
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
@@ -145,8 +144,27 @@
     }
 }
 
+/// A connection's place among all; it is given up however the connection's coroutine ends.
+struct Port {
+    conn: ConnId,
+    answers: co::Receiver<Arc<Answer>>,
+    hub: Arc<Hub>,
+}
+
+impl Port {
+    fn serve(&self, stream: impl front::Stream, wire: impl front::Wire) {
+        front::serve(stream, wire, self.conn, &self.answers, &self.hub);
+    }
+}
+
+impl Drop for Port {
+    fn drop(&mut self) {
+        self.hub.ports().remove(&self.conn);
+    }
+}
+
 /// Takes connections on a front until the server leaves.
-fn accept<W: front::Wire>(listener: TcpListener, wire: W, hub: &Arc<Hub>) {
+fn accept(listener: TcpListener, hub: &Arc<Hub>, serve: impl Fn(TcpStream, Port)) {
     loop {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
@@ -160,21 +178,22 @@
             return;
         }
         // Past the limit new connections are closed unread; what was read keeps its descriptor.
-        let Some((conn, answers)) = hub.open() else { continue };
-        let hub = hub.clone();
-        spawn(move || {
-            front::serve(stream, wire, conn, &answers, &hub);
-            hub.close(conn);
-        });
+        if let Some(port) = hub.open() {
+            serve(stream, port);
+        }
     }
 }
 
-/// A bound listener on its way to [`accept`], which can be closed from outside.
-fn listen<W: front::Wire>(address: SocketAddr, wire: W, hub: &Arc<Hub>) -> io::Result<SocketAddr> {
+/// Binds a front and starts to take connections there.
+fn listen(
+    address: SocketAddr,
+    hub: &Arc<Hub>,
+    serve: impl Fn(TcpStream, Port) + Send + 'static,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address)?;
     let bound = listener.local_addr()?;
     let hub = hub.clone();
-    spawn(move || accept(listener, wire, &hub));
+    spawn(move || accept(listener, &hub, serve));
     Ok(bound)
 }
 
@@ -237,22 +256,37 @@
 
 impl Node {
     /// Binds the fronts and starts the links.
-    pub fn start(config: &Config) -> Result<Self, String> {
+    pub fn start(config: &Config, certificate: Shared) -> Result<Self, String> {
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
         let most = config.sockets.saturating_sub(RESERVED_SOCKETS).max(1);
         let hub = Arc::new(Hub::new(sender, most));
         let classes = config.site.class_names.clone();
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
-        let at = |e: io::Error| format!("listen: {}: {e}", config.listen);
-        let bound = listen(config.listen, http::Http, &hub).map_err(at)?;
-        info!("{} takes HTTP on {bound}", config.name);
-        let mut listeners = vec![bound];
-        if let Some(address) = config.appliance.scgi_listen {
-            let at = |e: io::Error| format!("scgi.listen: {address}: {e}");
-            let bound = listen(address, scgi::Scgi, &hub).map_err(at)?;
-            info!("{} takes SCGI on {bound}", config.name);
+        let mut listeners = Vec::new();
+        let mut bound = |key: &str, front: &str, address: SocketAddr, bound: io::Result<SocketAddr>| {
+            let bound = bound.map_err(|e| format!("{key}: {address}: {e}"))?;
+            info!("{} takes {front} on {bound}", config.name);
             listeners.push(bound);
+            Ok::<(), String>(())
+        };
+        let plain = |stream, port: Port| spawn(move || port.serve(stream, http::Http));
+        bound("listen", "HTTP", config.listen, listen(config.listen, &hub, plain))?;
+        if let Some(address) = config.appliance.scgi_listen {
+            let scgi = |stream, port: Port| spawn(move || port.serve(stream, scgi::Scgi));
+            bound("scgi.listen", "SCGI", address, listen(address, &hub, scgi))?;
+        }
+        if let Some(address) = config.appliance.tls_listen {
+            let tls = tls::config(certificate)?;
+            let secure = move |stream, port: Port| {
+                let tls = tls.clone();
+                spawn_deep(move || {
+                    if let Ok(stream) = tls::accept(stream, &tls) {
+                        port.serve(stream, http::Http);
+                    }
+                });
+            };
+            bound("tls.listen", "HTTPS", address, listen(address, &hub, secure))?;
         }
         let runner = match (config.agent, config.appliance.scgi_application) {
             (Some(address), _) => Runner::Agent(agent::Link::start(address, classes, &hub)),
--- a/src/net/spawn.rs
+++ b/src/net/spawn.rs
@@ -7,6 +7,8 @@
 /// Stack of a coroutine in machine words (64 KiB): only touched pages take memory, and nothing here keeps
 /// buffers on the stack.
 const STACK_WORDS: usize = 0x2000;
+/// Stack of a coroutine that speaks TLS (512 KiB), of which a build without optimization touches much.
+const DEEP_STACK_WORDS: usize = 0x10000;
 /// Threads that run coroutines. The program has one core; the second keeps I/O going while the first one
 /// writes a log line.
 const WORKERS: usize = 2;
@@ -27,10 +29,19 @@
 /// May marks its spawn unsafe for two reasons: code in a coroutine must not keep thread-local state across a
 /// point where it may move to another thread, and must not overrun its stack. The coroutines of this crate
 /// use no thread-local state across I/O, and keep their buffers on the heap.
-#[allow(unsafe_code)]
 pub fn spawn(work: impl FnOnce() + Send + 'static) {
-    // SAFETY: see above.
-    let started = unsafe { Builder::new().stack_size(STACK_WORDS).spawn(work) };
+    spawn_on(STACK_WORDS, work);
+}
+
+/// Starts a coroutine with room for the handshakes of TLS.
+pub fn spawn_deep(work: impl FnOnce() + Send + 'static) {
+    spawn_on(DEEP_STACK_WORDS, work);
+}
+
+#[allow(unsafe_code)]
+fn spawn_on(stack_words: usize, work: impl FnOnce() + Send + 'static) {
+    // SAFETY: as said at `spawn`.
+    let started = unsafe { Builder::new().stack_size(stack_words).spawn(work) };
     if let Err(e) = started {
         tracing::error!("a coroutine could not be started: {e}");
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -283,6 +283,8 @@
     pub console: Option<PathBuf>,
     /// Certificates.
     pub acme: Option<Acme>,
+    /// Where callers connect with HTTP under TLS, with that certificate.
+    pub tls_listen: Option<SocketAddr>,
 }
 
 /// How certificates are ordered.
@@ -324,7 +326,12 @@
         let address = |key| scgi.at(key)?.or(None, |n, v| parsed(n, v).map(Some));
         let console = root.at("console")?;
         let acme = root.at("acme")?;
+        let tls_listen = root.at("tls")?.at("listen")?.or(None, |n, v| parsed(n, v).map(Some))?;
+        if tls_listen.is_some() && acme.value.is_none() {
+            return Err(ConfigError::new("tls.listen", "needs a certificate, and acme is not set"));
+        }
         Ok(Self {
+            tls_listen,
             scgi_listen: address("listen")?,
             scgi_application: address("application")?,
             scgi_below: address("below")?,
@@ -416,6 +423,7 @@
             ("scgi.listen", address(a.scgi_listen)),
             ("scgi.application", address(a.scgi_application)),
             ("scgi.below", address(a.scgi_below)),
+            ("tls.listen", address(a.tls_listen)),
         ];
         if let Some(acme) = &a.acme {
             lines.extend([
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -1,9 +1,11 @@
 //! The console and the certificates, in the real program.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::authority::{Authority, Rules};
@@ -93,6 +95,28 @@
     assert_eq!((second.says("certificate", "orders").as_str(), authority.orders()), ("0", 1));
 }
 
+#[test]
+fn a_request_is_served_under_tls_with_the_ordered_certificate() {
+    let (challenges, store, port) = (free_address(), fresh_path("acme"), free_address());
+    let authority = Authority::start(challenges, Rules { life: MONTHS, ..Rules::default() });
+    let tls = format!(r#","tls":{{"listen":"{port}"}}"#);
+    let appliance = Appliance::start(&(acme(authority.address, challenges, &store) + &tls));
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(authority.root.clone().into()).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider);
+    let config = config.with_safe_default_protocol_versions().unwrap();
+    let config = config.with_root_certificates(roots).with_no_client_auth();
+    let name = "lobby.example".try_into().unwrap();
+    let client = rustls::ClientConnection::new(Arc::new(config), name).unwrap();
+    let mut stream = rustls::StreamOwned::new(client, connect(port));
+    for body in [&b"one"[..], &[7; 2000]] {
+        stream.write_all(&Ask::new("queue-status", body).http()).unwrap();
+        assert_eq!(read_answer(&mut stream).body, [b"made:", body].concat());
+    }
+}
+
 #[test]
 fn a_failed_challenge_is_tried_again_later() {
     let (challenges, store) = (free_address(), fresh_path("acme"));
--- a/tests/program/authority.rs
+++ b/tests/program/authority.rs
@@ -39,6 +39,8 @@
 pub struct Authority {
     pub address: SocketAddr,
     pub rules: Arc<Mutex<Rules>>,
+    /// Its root certificate.
+    pub root: Vec<u8>,
     known: Arc<Mutex<Known>>,
 }
 
@@ -62,12 +64,17 @@
     pub fn start(challenges: SocketAddr, rules: Rules) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let authority = Self { address, rules: Arc::new(Mutex::new(rules)), known: Arc::default() };
-        let (rules, known) = (authority.rules.clone(), authority.known.clone());
         let key = rcgen::KeyPair::generate().unwrap();
         let mut params = rcgen::CertificateParams::new(vec![]).unwrap();
         params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
         let root = params.self_signed(&key).unwrap();
+        let authority = Self {
+            address,
+            rules: Arc::new(Mutex::new(rules)),
+            root: root.der().to_vec(),
+            known: Arc::default(),
+        };
+        let (rules, known) = (authority.rules.clone(), authority.known.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let issue = |csr: &[u8], life| issue(csr, life, &root, &key);
