--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -25,6 +25,8 @@
     pub failed: u64,
     /// Requests that only the core's own timer answered.
     pub overdue: u64,
+    /// Commands sent to the agent.
+    pub commands: u64,
     /// Runs begun.
     pub launched: u64,
     /// Second runs of a key that the core did not let happen.
@@ -69,6 +71,7 @@
             ("refused", self.refused),
             ("failed", self.failed),
             ("overdue", self.overdue),
+            ("commands", self.commands),
             ("launched", self.launched),
             ("second_runs_barred", self.second_runs_barred),
             ("calls_made", self.calls_made),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -173,7 +173,9 @@
         self.brain.decide(now, &mut actions);
         self.settle_events(now, &mut actions);
         self.leave_when_done();
-        std::mem::take(&mut self.effects)
+        let effects = std::mem::take(&mut self.effects);
+        self.counters.commands += effects.iter().filter(|e| matches!(e, Effect::Agent(_))).count() as u64;
+        effects
     }
 
     fn arm(&mut self, at: Duration, timer: Timer) {
@@ -196,6 +198,7 @@
     fn take(&mut self, now: Duration, input: Input, actions: &mut Vec<Action>) {
         match input {
             Input::Request(request) => self.arrived(now, *request),
+            // Deep or not, a check hears what the module set: it watches whether work gets done.
             Input::Check { conn, .. } => {
                 self.counters.checks += 1;
                 let verdict = if self.healthy { Verdict::Healthy } else { Verdict::Unhealthy };
@@ -233,11 +236,11 @@
         };
         let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
         if keyed && request.key.is_none() {
-            return self.turn_back(request.conn, Verdict::Invalid("this class needs an Idempotency-Key"));
+            return self.turn_back(request.conn, Verdict::Invalid("a request of this class needs a key"));
         }
         // A handle names one run at the agent: taking it twice could hand one request the other's result.
         if self.handles.contains_key(&request.handle) {
-            return self.turn_back(request.conn, Verdict::Invalid("this X-Request-Id is in use"));
+            return self.turn_back(request.conn, Verdict::Invalid("this request id is in use"));
         }
         let key = request.key.filter(|_| keyed);
         let start = request.start.min(now);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -7,6 +7,7 @@
 
 use may::net::TcpStream;
 use may::sync::mpsc::Receiver;
+use socket2::SockRef;
 
 use super::fields::{Bad, Message, Parsed};
 use super::Hub;
@@ -16,6 +17,9 @@
 const READ_PATIENCE: Duration = Duration::from_secs(10);
 /// A caller that reads nothing for this long has stopped reading.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
+/// memory than that for each of many such callers.
+const SEND_BUFFER: usize = 16 << 10;
 /// An idle connection looks this often whether it should close.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 /// Bytes read at once.
@@ -66,6 +70,7 @@
     hub: &Hub,
 ) {
     let _ = stream.tcp().set_nodelay(true);
+    let _ = SockRef::from(stream.tcp().inner()).set_send_buffer_size(SEND_BUFFER);
     let _ = stream.tcp().set_write_timeout(Some(WRITE_PATIENCE));
     let mut bytes = Vec::new();
     loop {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -268,7 +268,7 @@
 
 #[rstest]
 #[case("no-such-class", None, Verdict::NoSuchClass)]
-#[case("lobby-confirm", None, Verdict::Invalid("this class needs an Idempotency-Key"))]
+#[case("lobby-confirm", None, Verdict::Invalid("a request of this class needs a key"))]
 fn what_cannot_be_taken_is_said_so(#[case] class: &str, #[case] key: Option<&str>, #[case] says: Verdict) {
     let mut bench = Bench::new();
     bench.send(10, class, key);
@@ -301,3 +301,93 @@
     assert_eq!(end.outcome().never_ran(), never);
     assert_ne!(end.outcome(), Outcome::Done);
 }
+
+/// A small generator of numbers, the same for the same seed.
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % sides
+    }
+}
+
+/// Whatever agent, vault and link do, and in whatever order: one answer each and in time, one run for a key,
+/// and nothing turned away once it was run.
+#[test]
+fn the_rules_hold_in_any_order_of_events() {
+    const ENDS: [End; 6] =
+        [End::Complete, End::Failed, End::Cancelled, End::Broken, End::Complete, End::Complete];
+    for seed in 1..=150 {
+        let (mut bench, mut dice) = (Bench::new(), Dice(0x9e37_79b9_7f4a_7c15 ^ seed));
+        let mut open: Vec<Handle> = Vec::new();
+        let (mut calls, mut keys, mut due) = (Vec::new(), std::collections::HashMap::new(), Vec::new());
+        let (mut at, mut seen, mut cursor) = (0, 0, 0);
+        for _ in 0..400 {
+            at += dice.roll(25);
+            bench.pass(at);
+            match dice.roll(12) {
+                0..=3 => {
+                    let key = format!("k{}", dice.roll(40));
+                    bench.send(at, "lobby-confirm", Some(&key));
+                    keys.insert(handle(bench.conns), (key, at));
+                }
+                4 | 5 => drop(bench.send(at, "queue-status", None)),
+                6..=8 if !open.is_empty() => {
+                    let handle = open.swap_remove(dice.roll(open.len() as u64) as usize);
+                    let end = ENDS[dice.roll(6) as usize];
+                    let result = (end == End::Complete).then(|| Arc::from(*b"r"));
+                    bench.notice(at, Notice::Outcome { handle, end, lasted: None, result });
+                }
+                9 if !open.is_empty() => {
+                    cursor += 1;
+                    let handle = open[dice.roll(open.len() as u64) as usize];
+                    bench.notice(at, Notice::CallNeeded { handle, cursor, body: Arc::from(*b"c") });
+                }
+                10 if !calls.is_empty() => {
+                    let (handle, attempt) = calls.swap_remove(dice.roll(calls.len() as u64) as usize);
+                    let end = [End::Complete, End::NotNow, End::Overdue, End::Broken][dice.roll(4) as usize];
+                    let reply = (end == End::Complete).then(|| Arc::from(*b"y"));
+                    bench.step(at, [Input::CallEnded { handle, attempt, end, reply }]);
+                }
+                11 if dice.roll(6) == 0 => {
+                    bench.notice(at, Notice::Lost(End::Broken));
+                    bench.notice(at, Notice::Greeting { cold: false, lasted: Duration::from_secs(60) });
+                    bench.notice(at, Notice::Synced);
+                }
+                _ => {}
+            }
+            due.resize(bench.conns as usize, at);
+            for effect in &bench.done[seen..] {
+                match effect {
+                    Effect::Agent(Command::Launch { handle, .. }) => open.push(*handle),
+                    Effect::Call { handle, attempt, .. } => calls.push((*handle, *attempt)),
+                    _ => {}
+                }
+            }
+            seen = bench.done.len();
+        }
+        bench.step(at, [Input::Drain]);
+        bench.pass(at + 3_200);
+        assert!(bench.done.contains(&Effect::Leave), "seed {seed}: it does not leave");
+        let mut runs = std::collections::HashMap::new();
+        let mut launched = std::collections::HashSet::new();
+        for effect in &bench.done {
+            if let Effect::Agent(Command::Launch { handle, .. }) = effect {
+                launched.insert(*handle);
+                if let Some((key, start)) = keys.get(handle) {
+                    let before = runs.insert(key, *start);
+                    assert!(before.is_none_or(|b| *start > b + 13_356), "seed {seed}: {key} runs twice");
+                }
+            }
+        }
+        for conn in 1..=bench.conns {
+            let answers = bench.answers(conn);
+            assert_eq!(answers.len(), 1, "seed {seed}: {conn} has {answers:?}");
+            let refused = matches!(answers[0], Verdict::Refused { .. });
+            assert!(!(refused && launched.contains(&handle(conn))), "seed {seed}: {conn} ran and is refused");
+        }
+    }
+}
--- a/tests/program/scgi.rs
+++ b/tests/program/scgi.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 
 use super::stand_in::*;
 
@@ -115,23 +116,30 @@
 
 #[test]
 fn a_caller_that_stops_reading_halfway_holds_up_nobody() {
-    let program = Program::start(with_application(|_, _| {
-        [b"Status: 200 OK\r\n\r\n".to_vec(), vec![b'x'; 4096]].concat()
+    // More than the buffers between the two take, so that the answer really stands halfway.
+    const LARGE: usize = 60 << 10;
+    let program = Program::start(with_application(|_, body| {
+        [b"Status: 200 OK\r\n\r\n".to_vec(), vec![b'x'; if body == b"large" { LARGE } else { 4 }]].concat()
     }));
-    let mut stalled: Vec<_> = (0..20).map(|_| connect(program.scgi)).collect();
+    let narrow = |address: SocketAddr| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(1).unwrap();
+        socket.connect(&address.into()).unwrap();
+        TcpStream::from(socket)
+    };
+    let mut stalled: Vec<_> = (0..10).map(|_| narrow(program.scgi)).collect();
     for stream in &mut stalled {
-        stream.write_all(&Ask::new("queue-status", b"").scgi()).unwrap();
+        stream.write_all(&Ask::new("queue-status", b"large").scgi()).unwrap();
     }
     for stream in &mut stalled {
-        // Half of the answer is read, and nothing after it.
-        stream.read_exact(&mut [0; 2000]).unwrap();
+        stream.read_exact(&mut [0; 1000]).unwrap();
     }
     let since = Instant::now();
-    assert_eq!(exchange(program.scgi, &Ask::new("queue-status", b"").scgi()).body.len(), 4096);
-    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"").http()).body.len(), 4096);
+    assert_eq!(exchange(program.scgi, &Ask::new("queue-status", b"").scgi()).body.len(), 4);
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"").http()).body.len(), 4);
     assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
-    drop(stalled);
-    assert_eq!((program.counter("taken_in"), program.counter("served")), (22, 22));
+    assert_eq!((program.counter("taken_in"), program.counter("served")), (12, 12));
+    wait_for("the end of their connections", || program.counter("unsent_stalled") == 10);
 }
 
 /// What one front's callers got.
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -233,6 +233,8 @@
     pub site: Vec<(&'static str, &'static str)>,
     /// More members of the appliance's file.
     pub appliance: String,
+    /// Descriptors that the program may hold.
+    pub sockets: Option<usize>,
 }
 
 /// A path in a folder of its own that nothing stands at yet.
@@ -268,10 +270,11 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","control":"{}",{}{}"stop_ms":3200,"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","control":"{}",{}{}"limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent),
             address("vault", setup.vault),
+            setup.sockets.unwrap_or(1024),
         );
         let scgi = format!(
             r#"{{"scgi":{{{}{}"listen":"127.0.0.1:0"}}{}}}"#,
