Check class names, share descriptors fairly when few, test lost calls

Seen: classes without a name, or two of one name, were accepted by the program and could never be told apart on the wire (settings.rs); the key is named now. With fewer than 256 descriptors the reserve of 128 left next to none for callers (net/mod.rs); it is half of few.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -36,7 +36,8 @@
 const INBOX_ROOM: usize = 4096;
 /// Inputs that the reducer takes at once.
 const BATCH: usize = 1024;
-/// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime.
+/// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime; half
+/// of them where there are few.
 const RESERVED_SOCKETS: usize = 128;
 /// Wait after a failed accept, so that a full table of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -259,7 +260,7 @@
     pub fn start(config: &Config, certificate: Shared) -> Result<Self, String> {
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
-        let most = config.sockets.saturating_sub(RESERVED_SOCKETS).max(1);
+        let most = (config.sockets - RESERVED_SOCKETS.min(config.sockets / 2)).max(1);
         let hub = Arc::new(Hub::new(sender, most));
         let classes = config.site.class_names.clone();
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -471,6 +471,13 @@
         if settings.value.is_none() {
             return settings.bad("is missing");
         }
+        let site = Site::read(&settings)?;
+        for (at, class) in site.class_names.iter().enumerate() {
+            if class.is_empty() || site.class_names[..at].contains(class) {
+                let key = format!("settings.profiles[{at}].name");
+                return Err(ConfigError::new(key, "is missing or stands twice"));
+            }
+        }
         Ok(Self {
             name,
             listen,
@@ -480,7 +487,7 @@
             seed,
             stop_after: Duration::from_micros((stop_ms * 1000.0) as u64),
             sockets,
-            site: Site::read(&settings)?,
+            site,
             appliance: Appliance::default(),
         })
     }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -202,6 +202,26 @@
     assert_eq!(Config::parse(&json, &vars).unwrap_err().to_string(), says);
 }
 
+#[rstest]
+#[case(
+    r#""name": "queue-prefs""#,
+    r#""name": "queue-status""#,
+    "settings.profiles[1].name: is missing or stands twice"
+)]
+#[case(r#""name": "queue-status", "#, "", "settings.profiles[0].name: is missing or stands twice")]
+fn classes_of_the_program_need_names(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    let site = SITE.replacen(from, to, 1);
+    let json = format!(r#"{{"name":"n1","listen":"127.0.0.1:1","settings":{site}}}"#);
+    assert_eq!(Config::parse(&json, &HashMap::new()).unwrap_err().to_string(), says);
+}
+
+#[test]
+fn the_example_of_the_appliance_shows_all_of_it() {
+    let on = Appliance::parse(include_str!("../deploy/appliance.example.json")).unwrap();
+    assert!(on.scgi_listen.is_some() && on.scgi_application.is_some() && on.scgi_below.is_some());
+    assert!(on.console.is_some() && on.acme.is_some() && on.tls_listen.is_some());
+}
+
 #[test]
 fn the_appliance_is_off_unless_its_file_says_where() {
     assert_eq!(Appliance::parse("{}").unwrap(), Appliance::default());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// A small generator of numbers, the same for the same seed.
+pub struct Dice(pub u64);
+
+impl Dice {
+    pub fn roll(&mut self, sides: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % sides
+    }
+
+    pub fn pick<T: Copy>(&mut self, from: &[T]) -> Option<T> {
+        (!from.is_empty()).then(|| from[self.roll(from.len() as u64) as usize])
+    }
+}
+
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,8 +1,11 @@
 //! The reducer, fed with inputs and a clock of the test's own.
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::Dice;
 use hopwalk::core::*;
 use hopwalk::interface::Outcome;
 use hopwalk::settings::Site;
@@ -302,18 +305,6 @@
     assert_ne!(end.outcome(), Outcome::Done);
 }
 
-/// A small generator of numbers, the same for the same seed.
-struct Dice(u64);
-
-impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % sides
-    }
-}
-
 /// Whatever agent, vault and link do, and in whatever order: one answer each and in time, one run for a key,
 /// and nothing turned away once it was run.
 #[test]
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -1,7 +1,7 @@
 //! The console and the certificates, in the real program.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -49,10 +49,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn acme(authority: SocketAddr, challenges: SocketAddr, store: &Path) -> String {
     format!(
         r#","acme":{{"directory":"http://{authority}/directory","domains":["lobby.example"],"contact":"mailto:a@b.example","store":"{}","challenge_listen":"{challenges}","retry_ms":50}}"#,
@@ -79,7 +75,7 @@
 
 #[test]
 fn an_order_survives_a_bad_nonce_and_its_certificate_a_restart() {
-    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let (challenges, store) = (gone(), fresh_path("acme"));
     let authority = Authority::start(challenges, Rules { bad_nonces: 2, life: MONTHS, ..Rules::default() });
     let first = Appliance::start(&acme(authority.address, challenges, &store));
     wait_for("a certificate", || first.says("certificate", "certificate") == "valid");
@@ -97,7 +93,7 @@
 
 #[test]
 fn a_request_is_served_under_tls_with_the_ordered_certificate() {
-    let (challenges, store, port) = (free_address(), fresh_path("acme"), free_address());
+    let (challenges, store, port) = (gone(), fresh_path("acme"), gone());
     let authority = Authority::start(challenges, Rules { life: MONTHS, ..Rules::default() });
     let tls = format!(r#","tls":{{"listen":"{port}"}}"#);
     let appliance = Appliance::start(&(acme(authority.address, challenges, &store) + &tls));
@@ -119,7 +115,7 @@
 
 #[test]
 fn a_failed_challenge_is_tried_again_later() {
-    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let (challenges, store) = (gone(), fresh_path("acme"));
     let authority =
         Authority::start(challenges, Rules { fail_challenges: true, life: MONTHS, ..Rules::default() });
     let appliance = Appliance::start(&acme(authority.address, challenges, &store));
@@ -132,7 +128,7 @@
 
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
-    let appliance = Appliance::start(&acme(free_address(), free_address(), &fresh_path("acme")));
+    let appliance = Appliance::start(&acme(gone(), gone(), &fresh_path("acme")));
     wait_for("failures", || appliance.says("certificate", "failures").parse::<u32>().unwrap() >= 3);
     assert!(appliance.serves());
     assert_eq!(appliance.says("status", "healthy"), "yes");
@@ -140,7 +136,7 @@
 
 #[test]
 fn a_certificate_is_renewed_before_it_expires() {
-    let (challenges, store) = (free_address(), fresh_path("acme"));
+    let (challenges, store) = (gone(), fresh_path("acme"));
     let life = Duration::from_secs(6);
     let authority = Authority::start(challenges, Rules { life, ..Rules::default() });
     let appliance = Appliance::start(&acme(authority.address, challenges, &store));
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -98,6 +98,23 @@
     assert_eq!((agent.launches().len(), program.counter("links_lost")), (2, 1));
 }
 
+#[rstest]
+#[case::breaks(true, "call_broken")]
+#[case::is_not_there(false, "call_refused")]
+fn a_call_that_is_lost_fails_its_request_and_frees_no_key(#[case] breaks: bool, #[case] counted: &str) {
+    // Guards against a second run or call: a connection that breaks during a call proves nothing.
+    let agent = Agent::start(1, QUICK, true);
+    let vault = if breaks { broken_vault() } else { gone() };
+    let program = Program::start(Setup { vault: Some(vault), ..with_agent(&agent) });
+    for _ in 0..2 {
+        let answer = exchange(program.http, &Ask { patience_ms: 1000, ..Ask::keyed("k", b"x") }.http());
+        assert_eq!(answer.status, 500);
+    }
+    assert_eq!(agent.launches().len(), 1);
+    let lost = program.counter(counted);
+    assert!(if breaks { lost == 1 } else { lost > 1 }, "{lost} calls: only what never ran is made again");
+}
+
 #[test]
 fn a_request_that_no_run_ends_is_answered_by_its_due_time() {
     let agent = Agent::start(1, Duration::from_secs(60), false);
@@ -147,7 +164,7 @@
 #[test]
 fn past_its_limit_it_takes_no_connection_and_keeps_those_it_has() {
     let agent = Agent::start(1, Duration::from_millis(200), false);
-    let program = Program::start(Setup { sockets: Some(128 + 3), ..with_agent(&agent) });
+    let program = Program::start(Setup { sockets: Some(6), ..with_agent(&agent) });
     let mut taken: Vec<_> = (0..3).map(|_| connect(program.http)).collect();
     for stream in &mut taken {
         stream.write_all(&Ask::new("queue-status", b"in").http()).unwrap();
--- a/tests/program/scgi.rs
+++ b/tests/program/scgi.rs
@@ -65,8 +65,7 @@
 
 #[test]
 fn an_application_that_cannot_be_reached_never_ran() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let program = Program::start(Setup { application: Some(gone), ..Setup::default() });
+    let program = Program::start(Setup { application: Some(gone()), ..Setup::default() });
     for _ in 0..2 {
         let answer = exchange(program.scgi, &Ask::keyed("k", b"x").scgi());
         assert!(answer.status == 503 && answer.head.starts_with("Status: 503"), "{answer:?}");
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -184,6 +184,23 @@
     address
 }
 
+/// A vault that reads a call and breaks the connection.
+pub fn broken_vault() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let _ = BufReader::new(stream).read_line(&mut String::new());
+        }
+    });
+    address
+}
+
+/// An address where nobody listens.
+pub fn gone() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 /// A stand-in for an SCGI service: gives each whole request to `answer`, writes what it returns and closes.
 pub fn scgi_service(answer: impl Fn(&str, &[u8]) -> Vec<u8> + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,27 +2,12 @@
 
 mod common;
 
-use common::{keyed_settings, ms};
+use common::{keyed_settings, ms, Dice};
 use hopwalk::interface::*;
 use hopwalk::Brain;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-struct Dice(u64);
-
-impl Dice {
-    fn roll(&mut self, sides: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % sides
-    }
-
-    fn pick<T: Copy>(&mut self, from: &[T]) -> Option<T> {
-        (!from.is_empty()).then(|| from[self.roll(from.len() as u64) as usize])
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Held,
