Bound timers and callers' notes whatever callers send

Seen by reading: a request that states an hour's wait and is answered at once left its timer behind for the hour, and the module keeps notes on every caller number it is told.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,8 @@
 const SAMPLE_PATIENCE: Duration = Duration::from_millis(20);
 /// Gauges older than this are no longer passed on.
 const SAMPLE_LIFETIME: Duration = Duration::from_millis(500);
+/// Callers that the module tells apart: it keeps notes on each, whatever numbers are sent.
+const MOST_CALLERS: u32 = 1024;
 /// Time between two looks for keys that can be forgotten.
 const SWEEP: Duration = Duration::from_secs(1);
 /// This long after its due time a run of an answered request is taken to be lost.
@@ -285,7 +287,7 @@
             hint: None,
             size_kb: request.size_kb,
             standing: request.rank,
-            caller: request.caller,
+            caller: request.caller % MOST_CALLERS,
             age: now.saturating_sub(start),
             repeats,
             marked_retry: false,
@@ -463,6 +465,7 @@
             ("at_call", in_phase(Phase::AtCall)),
             ("joined", in_phase(Phase::Joined)),
             ("keys", self.keys.len().to_string()),
+            ("timers", self.timers.len().to_string()),
             ("signal", self.signal.map_or("none".to_string(), |s| format!("{s:.4}"))),
         ];
         lines.into_iter().map(|(name, value)| (name.to_string(), value)).collect()
@@ -531,6 +534,12 @@
             }
             Timer::Sweep => {
                 self.keys.sweep(now);
+                // Requests that state a long wait and are answered at once leave their timers behind.
+                let live = &self.live;
+                self.timers.retain(|Reverse((_, timer))| match timer {
+                    Timer::Due(id) | Timer::RunLost(id) | Timer::CallLate(id, _) => live.contains_key(id),
+                    _ => true,
+                });
                 self.arm(now + SWEEP, Timer::Sweep);
             }
             Timer::DrainGrace => {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -269,6 +269,25 @@
     assert!(bench.launches() < 60, "{} launched at once would crowd the cores", bench.launches());
 }
 
+#[test]
+fn answered_requests_leave_no_timers_behind() {
+    // Guards against memory that grows with the wait that callers state.
+    let mut bench = Bench::new();
+    for n in 0..500 {
+        let Input::Request(mut request) = bench.request(n, "queue-status", None) else { unreachable!() };
+        (request.start, request.patience) = (Duration::ZERO, Some(ms(3_600_000)));
+        bench.step(n, [Input::Request(request)]);
+    }
+    for n in 1..=500 {
+        bench.complete(600, handle(n), b"x");
+    }
+    bench.pass(4_000);
+    let told = bench.step(4_000, [Input::Query { ticket: 1, query: Query::Status }]);
+    let [Effect::Told { lines, .. }] = &told[..] else { panic!("{told:?}") };
+    let timers = lines.iter().find(|(name, _)| name == "timers").unwrap().1.parse::<usize>().unwrap();
+    assert!((1..10).contains(&timers), "{lines:?}");
+}
+
 #[rstest]
 #[case("no-such-class", None, Verdict::NoSuchClass)]
 #[case("lobby-confirm", None, Verdict::Invalid("a request of this class needs a key"))]
