Refuse to start where somebody listens already, and say what is left

Seen by reading: may binds listeners with SO_REUSEPORT, so a second server started on the same address by mistake would quietly take half of the first one's callers. A plain listener is bound and dropped first (net/mod.rs, listen); it fails where somebody listens, and a test starts two programs. Another test: an application that is too slow is answered for by the due time, and the retry of its key does not reach it again.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -191,6 +191,9 @@
     hub: &Arc<Hub>,
     serve: impl Fn(TcpStream, Port) + Send + 'static,
 ) -> io::Result<SocketAddr> {
+    // May's listener shares its port with any other that does the same: a second server started by mistake would
+    // take half of the first one's callers. A plain listener fails where somebody listens.
+    drop(std::net::TcpListener::bind(address)?);
     let listener = TcpListener::bind(address)?;
     let bound = listener.local_addr()?;
     let hub = hub.clone();
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -180,3 +180,15 @@
         stream.write_all(b"GET /check HTTP/1.1\r\n\r\n").is_ok() && !is_closed(&mut stream)
     });
 }
+
+#[test]
+fn a_second_program_does_not_share_the_address() {
+    let agent = Agent::start(1, QUICK, false);
+    let first = Program::start(with_agent(&agent));
+    let (site, listen) = (include_str!("../site.json"), first.http);
+    let config = format!(r#"{{"name":"n","listen":"{listen}","agent":"127.0.0.1:1","settings":{site}}}"#);
+    let second = spawn_program(&config, "{}").wait_with_output().unwrap();
+    assert_eq!(second.status.code(), Some(2));
+    let said = String::from_utf8(second.stderr).unwrap();
+    assert!(said.contains(&format!("hopwalk: listen: {listen}: ")), "{said}");
+}
--- a/tests/program/scgi.rs
+++ b/tests/program/scgi.rs
@@ -63,6 +63,23 @@
     assert_eq!(*runs.lock().unwrap(), 1);
 }
 
+#[test]
+fn an_application_that_is_too_slow_is_answered_for_and_not_asked_again() {
+    let runs = Arc::new(Mutex::new(0));
+    let counted = runs.clone();
+    let program = Program::start(with_application(move |_, _| {
+        *counted.lock().unwrap() += 1;
+        thread::sleep(PATIENCE);
+        Vec::new()
+    }));
+    for _ in 0..2 {
+        let since = Instant::now();
+        let answer = exchange(program.scgi, &Ask { patience_ms: 700, ..Ask::keyed("k", b"x") }.scgi());
+        assert!(answer.status == 500 && since.elapsed() < Duration::from_millis(850), "{answer:?}");
+    }
+    assert_eq!(*runs.lock().unwrap(), 1);
+}
+
 #[test]
 fn an_application_that_cannot_be_reached_never_ran() {
     let program = Program::start(Setup { application: Some(gone()), ..Setup::default() });
