--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -18,16 +18,18 @@
     program: Program,
     socket: PathBuf,
     _agent: Agent,
+    _dir: Scratch,
 }
 
 impl Appliance {
     fn start(acme: &str) -> Self {
         let agent = Agent::start(2, Duration::from_millis(5), false);
-        let socket = fresh_path("console.sock");
+        let dir = Scratch::new();
+        let socket = dir.path("console.sock");
         let appliance = format!(r#","console":{{"socket":"{}"}}{acme}"#, socket.display());
         let program = Program::start(Setup { agent: Some(agent.address), appliance, ..Setup::default() });
         program.wait_for_log("the console listens");
-        Self { program, socket, _agent: agent }
+        Self { program, socket, _agent: agent, _dir: dir }
     }
 
     fn console(&self, word: &str) -> Output {
@@ -75,7 +77,8 @@
 
 #[test]
 fn an_order_survives_a_bad_nonce_and_its_certificate_a_restart() {
-    let (challenges, store) = (gone(), fresh_path("acme"));
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
     let authority = Authority::start(challenges, Rules { bad_nonces: 2, life: MONTHS, ..Rules::default() });
     let first = Appliance::start(&acme(authority.address, challenges, &store));
     wait_for("a certificate", || first.says("certificate", "certificate") == "valid");
@@ -93,7 +96,8 @@
 
 #[test]
 fn a_request_is_served_under_tls_with_the_ordered_certificate() {
-    let (challenges, store, port) = (gone(), fresh_path("acme"), gone());
+    let (challenges, dir, port) = (gone(), Scratch::new(), gone());
+    let store = dir.path("acme");
     let authority = Authority::start(challenges, Rules { life: MONTHS, ..Rules::default() });
     let tls = format!(r#","tls":{{"listen":"{port}"}}"#);
     let appliance = Appliance::start(&(acme(authority.address, challenges, &store) + &tls));
@@ -115,7 +119,8 @@
 
 #[test]
 fn a_failed_challenge_is_tried_again_later() {
-    let (challenges, store) = (gone(), fresh_path("acme"));
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
     let authority =
         Authority::start(challenges, Rules { fail_challenges: true, life: MONTHS, ..Rules::default() });
     let appliance = Appliance::start(&acme(authority.address, challenges, &store));
@@ -128,7 +133,8 @@
 
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
-    let appliance = Appliance::start(&acme(gone(), gone(), &fresh_path("acme")));
+    let dir = Scratch::new();
+    let appliance = Appliance::start(&acme(gone(), gone(), &dir.path("acme")));
     wait_for("failures", || appliance.says("certificate", "failures").parse::<u32>().unwrap() >= 3);
     assert!(appliance.serves());
     assert_eq!(appliance.says("status", "healthy"), "yes");
@@ -136,7 +142,8 @@
 
 #[test]
 fn a_certificate_is_renewed_before_it_expires() {
-    let (challenges, store) = (gone(), fresh_path("acme"));
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
     let life = Duration::from_secs(6);
     let authority = Authority::start(challenges, Rules { life, ..Rules::default() });
     let appliance = Appliance::start(&acme(authority.address, challenges, &store));
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -155,7 +155,8 @@
 ) {
     let site = include_str!("../site.json").replace(from, to);
     let config = format!(r#"{{"name":"n","listen":"127.0.0.1:0","agent":"127.0.0.1:1","settings":{site}}}"#);
-    let output = spawn_program(&config, "{}").wait_with_output().unwrap();
+    let (child, _dir) = spawn_program(&config, "{}");
+    let output = child.wait_with_output().unwrap();
     assert_eq!(output.status.code(), Some(2));
     let message = String::from_utf8(output.stderr).unwrap();
     assert_eq!(message.trim_end(), format!("hopwalk: {says}"));
@@ -187,7 +188,8 @@
     let first = Program::start(with_agent(&agent));
     let (site, listen) = (include_str!("../site.json"), first.http);
     let config = format!(r#"{{"name":"n","listen":"{listen}","agent":"127.0.0.1:1","settings":{site}}}"#);
-    let second = spawn_program(&config, "{}").wait_with_output().unwrap();
+    let (child, _dir) = spawn_program(&config, "{}");
+    let second = child.wait_with_output().unwrap();
     assert_eq!(second.status.code(), Some(2));
     let said = String::from_utf8(second.stderr).unwrap();
     assert!(said.contains(&format!("hopwalk: listen: {listen}: ")), "{said}");
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -237,6 +237,7 @@
     pub scgi: SocketAddr,
     log: Arc<Mutex<String>>,
     pub control: UdpSocket,
+    _dir: Scratch,
 }
 
 /// Parts of the configuration that tests set.
@@ -254,25 +255,41 @@
     pub sockets: Option<usize>,
 }
 
-/// A path in a folder of its own that nothing stands at yet.
-pub fn fresh_path(name: &str) -> PathBuf {
-    let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    let dir = std::env::temp_dir().join(format!("hopwalk-test-{}-{n}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    dir.join(name)
+/// A folder of a test's own, which goes when the test is done with it.
+pub struct Scratch(PathBuf);
+
+impl Scratch {
+    pub fn new() -> Self {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("hopwalk-test-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        Self(dir)
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 /// Starts the program's binary on configuration texts, without waiting for it.
-pub fn spawn_program(config: &str, appliance: &str) -> Child {
-    let (config_file, appliance_file) = (fresh_path("config.json"), fresh_path("appliance.json"));
+pub fn spawn_program(config: &str, appliance: &str) -> (Child, Scratch) {
+    let dir = Scratch::new();
+    let (config_file, appliance_file) = (dir.path("config.json"), dir.path("appliance.json"));
     std::fs::write(&config_file, config).unwrap();
     std::fs::write(&appliance_file, appliance).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_hopwalk"))
+    let child = Command::new(env!("CARGO_BIN_EXE_hopwalk"))
         .env("RELAY_CONFIG", config_file)
         .env("RELAY_APPLIANCE", appliance_file)
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap()
+        .unwrap();
+    (child, dir)
 }
 
 impl Program {
@@ -299,7 +316,7 @@
             address("below", setup.below),
             setup.appliance,
         );
-        let mut child = spawn_program(&config, &scgi);
+        let (mut child, dir) = spawn_program(&config, &scgi);
         let log = Arc::new(Mutex::new(String::new()));
         let (lines, logged) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
         thread::spawn(move || {
@@ -307,8 +324,14 @@
                 logged.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        let mut program =
-            Self { child, http: ([127, 0, 0, 1], 0).into(), scgi: ([127, 0, 0, 1], 0).into(), log, control };
+        let mut program = Self {
+            child,
+            http: ([127, 0, 0, 1], 0).into(),
+            scgi: ([127, 0, 0, 1], 0).into(),
+            log,
+            control,
+            _dir: dir,
+        };
         program.http = program.listening("takes HTTP on ");
         program.scgi = program.listening("takes SCGI on ");
         if setup.agent.is_some() {
