--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -15,6 +15,8 @@
     pub rejected: u64,
     /// Requests that repeat one with the same key.
     pub repeats: u64,
+    /// Requests turned back because their key stands for another request.
+    pub key_conflicts: u64,
     /// Requests answered with a result.
     pub served: u64,
     /// Of these, with the result of another try.
@@ -66,6 +68,7 @@
             ("checks", self.checks),
             ("rejected", self.rejected),
             ("repeats", self.repeats),
+            ("key_conflicts", self.key_conflicts),
             ("served", self.served),
             ("joined", self.joined),
             ("refused", self.refused),
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -1,6 +1,7 @@
 //! The table of keys: which try of a keyed request stands for it, which one ran, and what came of it.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use super::types::{Bytes, Key};
@@ -33,6 +34,8 @@
 
 #[derive(Debug, Default)]
 struct Entry {
+    /// What the key stands for: a digest of the class and the body that came with it first.
+    what: u64,
     /// The try that stands for the key, and for how long.
     holder: Option<(RequestId, Duration)>,
     /// Tries that are still here.
@@ -40,6 +43,13 @@
     ran: Option<Ran>,
 }
 
+/// A digest of what a key stands for.
+pub(super) fn digest(class: usize, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (class, body).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// All remembered keys.
 #[derive(Debug, Default)]
 pub(super) struct Keys {
@@ -52,6 +62,11 @@
         self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
     }
 
+    /// The key stands for something else: no try of what `what` is the digest of.
+    pub(super) fn is_taken(&self, key: &Key, what: u64) -> bool {
+        self.entries.get(key).is_some_and(|e| e.what != what)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.entries.len()
     }
@@ -61,10 +76,11 @@
         &mut self,
         key: &Key,
         id: RequestId,
+        what: u64,
         start: Duration,
         window: Duration,
     ) -> Option<RequestId> {
-        let e = self.entries.entry(key.clone()).or_default();
+        let e = self.entries.entry(key.clone()).or_insert_with(|| Entry { what, ..Entry::default() });
         let ran = e.ran.as_ref().filter(|r| start <= r.until).map(|r| r.id);
         let holder = e.holder.filter(|(_, until)| start <= *until).map(|(id, _)| id);
         // Tries that arrive together see each other even before one of them is kept.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -213,6 +213,7 @@
                 self.call_ended(now, handle, attempt, end, reply);
             }
             Input::Drain => self.drain(now),
+            Input::Reload => self.effects.push(Effect::Relink),
             Input::Query { ticket, query } => {
                 let lines = match query {
                     Query::Status => self.status(),
@@ -249,6 +250,12 @@
         let patience = request.patience.unwrap_or(self.site.settings.classes[class].give_up);
         let due = start + patience;
         let id = self.next_id;
+        // One key stands for one request: the result of another one is nobody else's, and must not be served.
+        let what = keys::digest(class, &request.body);
+        if key.as_ref().is_some_and(|k| self.keys.is_taken(k, what)) {
+            self.counters.key_conflicts += 1;
+            return self.turn_back(request.conn, Verdict::Invalid("this key stands for another request"));
+        }
         if key.as_ref().is_some_and(|k| !self.keys.has_room_for(k)) {
             self.counters.refused += 1;
             let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
@@ -256,7 +263,7 @@
         }
         self.next_id = self.next_id.wrapping_add(1).max(1);
         let window = self.site.settings.classes[class].window;
-        let repeats = key.as_ref().and_then(|k| self.keys.arrived(k, id, start, window));
+        let repeats = key.as_ref().and_then(|k| self.keys.arrived(k, id, what, start, window));
         self.counters.repeats += u64::from(repeats.is_some());
         self.handles.insert(request.handle, id);
         self.open += 1;
@@ -667,8 +674,9 @@
         live.call.2 += 1;
         live.call_began = Some(now);
         let (handle, attempt, body) = (live.handle, live.call.2, live.call.1.clone());
+        let once = self.site.settings.classes[live.class].repeat != Repeat::Idempotent;
         self.counters.calls_made += 1;
-        self.effects.push(Effect::Call { handle, attempt, patience: give_up_after, body });
+        self.effects.push(Effect::Call { handle, attempt, once, patience: give_up_after, body });
         self.arm(now + give_up_after + CALL_OVERDUE, Timer::CallLate(id, attempt));
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -99,6 +99,8 @@
     },
     /// The process is to leave.
     Drain,
+    /// The configuration was read again: the links may have new addresses.
+    Reload,
     /// The counters are to be printed.
     Report,
     /// Somebody at the console asks.
@@ -269,6 +271,8 @@
         handle: Handle,
         /// Which of the request's calls.
         attempt: u32,
+        /// It must not be made again, unless it is proven not to have run.
+        once: bool,
         /// How long it is waited for.
         patience: Duration,
         /// Its body.
@@ -283,6 +287,8 @@
     TrimIdle(Duration),
     /// Tell callers and the control plane that this server leaves.
     Draining,
+    /// Move the links to the addresses that the configuration names now.
+    Relink,
     /// Take no new connections.
     StopListening,
     /// All is answered: end once the connections are closed.
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,8 +6,9 @@
 use hopwalk::net::{start_runtime, Handle, Node};
 use hopwalk::settings::{Appliance, Config};
 use hopwalk::{acme, console, settings};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use tracing::warn;
 use tracing_subscriber::EnvFilter;
 
 const USAGE: &str = "usage: hopwalk                                  one server, set up by RELAY_*\n\
@@ -21,11 +22,16 @@
 }
 
 fn watch_signals(handle: Handle) -> Result<(), String> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => handle.report(),
+                SIGHUP => match Config::from_env() {
+                    Ok(config) => handle.reload(config.links()),
+                    Err(e) => warn!("the configuration stays as it was: {e}"),
+                },
                 _ => handle.drain(),
             }
         }
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -3,18 +3,18 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
-use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use tinyjson::JsonValue;
 use tracing::{debug, info, warn};
 
 use super::lines::Buffer;
+use super::stream::Conn;
 use super::{spawn, Hub};
 use crate::core::{Command, End, Input, Notice};
 
@@ -26,9 +26,18 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// The ticket of a sample that only marks a place in the notices.
 const SYNC_TICKET: &str = "sync";
+/// The ticket of the last sample on a link that is about to move, and the number that stands for it.
+const MOVE_TICKET: &str = "move";
+const MOVE: u64 = u64::MAX;
+/// The agent has this long to answer on the old link before a link moves.
+const MOVE_PATIENCE: Duration = Duration::from_millis(200);
 
 enum Order {
     Command(Command),
+    /// The configuration names an address, perhaps a new one.
+    Relink,
+    /// The agent has answered [`MOVE_TICKET`] on the link of this number.
+    Settled(u64),
     /// The link of this number broke.
     Broken(u64),
 }
@@ -40,10 +49,11 @@
 
 impl Link {
     /// Connects, and keeps at it.
-    pub fn start(address: SocketAddr, classes: Vec<String>, hub: &Arc<Hub>) -> Self {
+    pub(super) fn start(classes: Vec<String>, hub: &Arc<Hub>) -> Self {
         let (orders, received) = channel();
         let (hub, again) = (hub.clone(), orders.clone());
-        spawn(move || keep_linked(address, &classes, &hub, &again, &received));
+        let keeper = Keeper { classes, hub, again, orders: received, cursor: Arc::default() };
+        spawn(move || keeper.keep_linked());
         Self { orders }
     }
 
@@ -51,81 +61,148 @@
     pub fn send(&self, command: Command) {
         let _ = self.orders.send(Order::Command(command));
     }
+
+    /// Moves to the address that the configuration names now.
+    pub fn relink(&self) {
+        let _ = self.orders.send(Order::Relink);
+    }
 }
 
-fn keep_linked(
+/// A link that is open.
+struct Open {
+    conn: Conn,
+    number: u64,
     address: SocketAddr,
-    classes: &[String],
-    hub: &Arc<Hub>,
-    again: &Sender<Order>,
-    orders: &Receiver<Order>,
-) {
-    // The number of the last notice read, over all links.
-    let cursor = Arc::new(AtomicU64::new(0));
-    let mut wait = RELINK.0;
-    for link in 0.. {
-        match TcpStream::connect_timeout(&address, CONNECT_PATIENCE).and_then(|s| Ok((s.try_clone()?, s))) {
-            Ok((reads, writes)) => {
-                wait = RELINK.0;
-                info!("linked to the agent at {address}");
-                let (hub, cursor_read, again) = (hub.clone(), cursor.clone(), again.clone());
-                spawn(move || {
-                    let end = read_notices(Buffer::new(reads), &cursor_read, &hub);
-                    warn!("the link to the agent ended: {}", end.word());
-                    // In this order: what the reducer says once it knows of the loss then stands behind
-                    // `Broken` in the queue and goes out on the next link, not into this one.
-                    let _ = again.send(Order::Broken(link));
-                    hub.push(Input::Agent(Notice::Lost(end)));
-                });
-                write_commands(writes, link, cursor.load(Ordering::Acquire), classes, orders);
-            }
-            Err(e) => {
-                debug!("no link to the agent at {address}: {e}");
-                wait = (wait * 2).min(RELINK.1);
+    /// It is ended on purpose, with nothing of what was said on it in doubt.
+    settled: Arc<AtomicBool>,
+}
+
+struct Keeper {
+    classes: Vec<String>,
+    hub: Arc<Hub>,
+    again: Sender<Order>,
+    orders: Receiver<Order>,
+    /// The number of the last notice read, over all links.
+    cursor: Arc<AtomicU64>,
+}
+
+impl Keeper {
+    fn keep_linked(&self) {
+        let mut wait = RELINK.0;
+        let mut number = 0;
+        loop {
+            let Some(address) = self.hub.links().agent else { return };
+            match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
+                Ok(conn) => {
+                    wait = RELINK.0;
+                    let mut next = Some((conn, address, String::new()));
+                    while let Some((conn, address, backlog)) = next {
+                        number += 1;
+                        let link = self.open(conn, number, address);
+                        next = self.write_commands(link, &backlog);
+                    }
+                }
+                Err(e) => {
+                    debug!("no link to the agent at {address}: {e}");
+                    wait = (wait * 2).min(RELINK.1);
+                }
             }
+            may::coroutine::sleep(wait);
         }
-        may::coroutine::sleep(wait);
     }
-}
 
-/// Writes what is queued until the link breaks. What was written and got lost is the reducer's to repeat.
-fn write_commands(
-    mut stream: TcpStream,
-    link: u64,
-    cursor: u64,
-    classes: &[String],
-    orders: &Receiver<Order>,
-) {
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_write_timeout(Some(WRITE_PATIENCE));
-    let mut out = format!("{{\"event\":\"subscribe\",\"cursor\":{cursor}}}\n");
-    let mut writes = true;
-    loop {
-        if writes && stream.write_all(out.as_bytes()).is_err() {
-            // The reader notices the shutdown, and its word ends this loop.
-            writes = false;
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        out.clear();
-        let Ok(mut order) = orders.recv() else { return };
+    fn open(&self, conn: Conn, number: u64, address: SocketAddr) -> Open {
+        info!("linked to the agent at {address}");
+        let settled = Arc::new(AtomicBool::new(false));
+        let link = Open { conn, number, address, settled };
+        let (reads, settled) = (Buffer::new(link.conn.clone()), link.settled.clone());
+        let (hub, cursor, again) = (self.hub.clone(), self.cursor.clone(), self.again.clone());
+        spawn(move || {
+            let end = read_notices(reads, &cursor, &hub, || drop(again.send(Order::Settled(number))));
+            let settled = settled.load(Ordering::Acquire);
+            if !settled {
+                warn!("the link to the agent ended: {}", end.word());
+            }
+            // In this order: what the reducer says once it knows of the loss then stands behind
+            // `Broken` in the queue and goes out on the next link, not into this one.
+            let _ = again.send(Order::Broken(number));
+            if !settled {
+                hub.push(Input::Agent(Notice::Lost(end)));
+            }
+        });
+        link
+    }
+
+    /// Writes what is queued until the link breaks, or moves. What was written and got lost is the reducer's
+    /// to repeat. Returns the new link if there is one, and what was not written on the old one.
+    fn write_commands(&self, mut link: Open, backlog: &str) -> Option<(Conn, SocketAddr, String)> {
+        let cursor = self.cursor.load(Ordering::Acquire);
+        let mut out = format!("{{\"event\":\"subscribe\",\"cursor\":{cursor}}}\n{backlog}");
+        let mut writes = true;
         loop {
-            match order {
-                Order::Command(command) => encode(&command, classes, &mut out),
-                Order::Broken(which) if which == link => {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
+            if writes && link.conn.write_all(out.as_bytes()).is_err() {
+                // The reader notices the shutdown, and its word ends this loop.
+                writes = false;
+                link.conn.shutdown(Shutdown::Both);
+            }
+            out.clear();
+            let mut order = self.orders.recv().ok()?;
+            loop {
+                match order {
+                    Order::Command(command) => encode(&command, &self.classes, &mut out),
+                    Order::Broken(which) if which == link.number => {
+                        link.conn.shutdown(Shutdown::Both);
+                        return None;
+                    }
+                    Order::Relink => {
+                        if let Some(address) = self.hub.links().agent.filter(|a| *a != link.address) {
+                            match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
+                                Ok(conn) => return Some((conn, address, self.settle(link, out))),
+                                // The old link is closed in a moment, which starts anew at the new address.
+                                Err(e) => debug!("no link to the agent at {address} yet: {e}"),
+                            }
+                        }
+                    }
+                    Order::Broken(_) | Order::Settled(_) => {}
+                }
+                match self.orders.try_recv() {
+                    Ok(next) => order = next,
+                    Err(_) => break,
                 }
-                Order::Broken(_) => {}
             }
-            match orders.try_recv() {
-                Ok(next) => order = next,
-                Err(_) => break,
+        }
+    }
+
+    /// Ends a link in good order: the agent shows that it has read all that was said on it, so that no launch
+    /// is in doubt, and all its notices are read. Returns what came to be said meanwhile.
+    fn settle(&self, mut link: Open, mut out: String) -> String {
+        encode_sample(MOVE_TICKET, &mut out);
+        let _ = link.conn.write_all(out.as_bytes());
+        let (since, mut backlog) = (Instant::now(), String::new());
+        let mut ended = false;
+        loop {
+            let left = MOVE_PATIENCE.saturating_sub(since.elapsed());
+            if left.is_zero() && !ended {
+                ended = true;
+                link.conn.shutdown(Shutdown::Both);
+            }
+            match self.orders.recv_timeout(if ended { WRITE_PATIENCE } else { left }) {
+                Ok(Order::Command(command)) => encode(&command, &self.classes, &mut backlog),
+                Ok(Order::Settled(which)) if which == link.number => {
+                    ended = true;
+                    link.settled.store(true, Ordering::Release);
+                    link.conn.shutdown(Shutdown::Both);
+                }
+                Ok(Order::Broken(which)) if which == link.number => return backlog,
+                Ok(_) => {}
+                Err(_) if ended => return backlog,
+                Err(_) => {}
             }
         }
     }
 }
 
-fn read_notices(mut lines: Buffer, cursor: &AtomicU64, hub: &Hub) -> End {
+fn read_notices(mut lines: Buffer, cursor: &AtomicU64, hub: &Hub, settled: impl Fn()) -> End {
     loop {
         let line = match lines.line() {
             Ok(line) => line,
@@ -133,14 +210,16 @@
         };
         match parse(&line) {
             Ok((number, notice)) => {
-                // A notice that a former link brought already is not told twice.
+                // A notice that was told before, on this link or a former one, is not told twice.
                 if let Some(number) = number {
                     if cursor.fetch_max(number, Ordering::AcqRel) >= number {
                         continue;
                     }
                 }
-                if let Some(notice) = notice {
-                    hub.push(Input::Agent(notice));
+                match notice {
+                    Some(Notice::Sampled { ticket: MOVE, .. }) => settled(),
+                    Some(notice) => hub.push(Input::Agent(notice)),
+                    None => {}
                 }
             }
             Err(why) => {
@@ -151,6 +230,10 @@
     }
 }
 
+fn encode_sample(ticket: &str, out: &mut String) {
+    out.push_str(&format!("{{\"event\":\"sample\",\"ticket\":\"{ticket}\"}}\n"));
+}
+
 /// Appends a command as a line.
 pub fn encode(command: &Command, classes: &[String], out: &mut String) {
     let line = match command {
@@ -210,6 +293,7 @@
         }
         "sampled" => match text("ticket").ok_or("it has no ticket")? {
             SYNC_TICKET => Some(Notice::Synced),
+            MOVE_TICKET => Some(Notice::Sampled { ticket: MOVE, figures: Vec::new() }),
             ticket => {
                 let figures = members.get("figures").and_then(|v| v.get::<Vec<JsonValue>>());
                 let figures = figures.ok_or("it has no figures")?;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -2,24 +2,20 @@
 
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use may::net::TcpStream;
-use may::sync::mpsc::Receiver;
-use socket2::SockRef;
-
 use super::fields::{Bad, Message, Parsed};
-use super::Hub;
-use crate::core::{Answer, ConnId, End, Input, Verdict};
+use super::stream::Conn;
+use super::{Hub, Port};
+use crate::core::{Answer, End, Input, Verdict};
 
 /// A request must be there whole this long after its first byte.
 const READ_PATIENCE: Duration = Duration::from_secs(10);
+/// A new connection must bring its first whole request within this time of being accepted, whether it says half
+/// of one or nothing at all: callers connect when they have something to say.
+const FIRST_PATIENCE: Duration = Duration::from_millis(2500);
 /// A caller that reads nothing for this long has stopped reading.
-const WRITE_PATIENCE: Duration = Duration::from_secs(2);
-/// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
-/// memory than that for each of many such callers.
-const SEND_BUFFER: usize = 16 << 10;
+pub(super) const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// An idle connection looks this often whether it should close.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 /// Bytes read at once.
@@ -40,13 +36,13 @@
 /// The bytes under a wire: a connection, or TLS on one.
 pub(super) trait Stream: Read + Write {
     /// The connection itself.
-    fn tcp(&self) -> &TcpStream;
+    fn conn(&mut self) -> &mut Conn;
     /// Tells the other side that nothing more comes.
     fn end(&mut self);
 }
 
-impl Stream for TcpStream {
-    fn tcp(&self) -> &TcpStream {
+impl Stream for Conn {
+    fn conn(&mut self) -> &mut Conn {
         self
     }
 
@@ -62,19 +58,12 @@
 }
 
 /// Serves one connection until it ends.
-pub(super) fn serve<S: Stream, W: Wire>(
-    mut stream: S,
-    wire: W,
-    conn: ConnId,
-    answers: &Receiver<Arc<Answer>>,
-    hub: &Hub,
-) {
-    let _ = stream.tcp().set_nodelay(true);
-    let _ = SockRef::from(stream.tcp().inner()).set_send_buffer_size(SEND_BUFFER);
-    let _ = stream.tcp().set_write_timeout(Some(WRITE_PATIENCE));
+pub(super) fn serve<S: Stream, W: Wire>(mut stream: S, wire: W, port: &Port) {
+    let (conn, hub) = (port.conn, &*port.hub);
     let mut bytes = Vec::new();
+    let mut accepted = Some(port.accepted);
     loop {
-        let message = match read_message(&mut stream, wire, &mut bytes, hub) {
+        let message = match read_message(&mut stream, wire, &mut bytes, hub, accepted.take()) {
             Ok(message) => message,
             Err(Stop::Quiet) => return,
             Err(Stop::Bad(bad)) => {
@@ -86,6 +75,10 @@
             }
         };
         bytes.drain(..message.taken);
+        // What was read keeps its connection; one that makes room at this moment is gone, and was not read.
+        if !port.asks() {
+            return;
+        }
         hub.push(match message.parsed {
             Parsed::Check { deep } => Input::Check { conn, deep },
             Parsed::Request(mut request) => {
@@ -93,7 +86,7 @@
                 Input::Request(request)
             }
         });
-        let Ok(answer) = answers.recv() else { return };
+        let Ok(answer) = port.answers.recv() else { return };
         let invalid = matches!(answer.verdict, Verdict::Invalid(_) | Verdict::NoSuchClass);
         let close = message.close || answer.close || invalid;
         if !write(&mut stream, &wire.encode(&answer, close), hub) {
@@ -102,6 +95,7 @@
         if close {
             return linger(&mut stream);
         }
+        port.rests();
     }
 }
 
@@ -110,6 +104,7 @@
     wire: W,
     bytes: &mut Vec<u8>,
     hub: &Hub,
+    accepted: Option<Instant>,
 ) -> Result<Message, Stop> {
     let since = Instant::now();
     let mut first_byte = (!bytes.is_empty()).then_some(since);
@@ -119,8 +114,12 @@
             return Ok(message);
         }
         let idle = first_byte.is_none();
-        let left =
-            time_left(since.elapsed(), first_byte.map(|at| at.elapsed()), hub.idle_limit(), hub.is_closed());
+        let waited = Waited {
+            idle: since.elapsed(),
+            partial: first_byte.map(|at| at.elapsed()),
+            unasked: accepted.map(|at| at.elapsed()),
+        };
+        let left = waited.left(hub.idle_limit(), hub.is_closed());
         if left.is_zero() && last_look {
             return if idle {
                 Err(Stop::Quiet)
@@ -130,7 +129,7 @@
         }
         // What came while the timer fired is read before the connection is closed as idle.
         last_look = left.is_zero();
-        let _ = stream.tcp().set_read_timeout(Some(left.clamp(Duration::from_millis(1), IDLE_LOOK)));
+        stream.conn().set_read_patience(left.clamp(Duration::from_millis(1), IDLE_LOOK));
         match read_some(stream, bytes) {
             Ok(0) if idle => return Err(Stop::Quiet),
             // The caller may have closed only its own side, and still read.
@@ -146,15 +145,28 @@
     }
 }
 
-/// How much longer a connection is read that has been waited on for so long, and of whose next message a part
-/// has been there for so long.
-fn time_left(waited: Duration, partial: Option<Duration>, idle_limit: Duration, closed: bool) -> Duration {
-    match partial {
-        None => idle_limit.saturating_sub(waited),
-        // A length that lies must not hold up the end of a drain.
-        Some(_) if closed => Duration::ZERO,
-        // Counted from the first byte: an idle connection may bring a request in two parts at any time.
-        Some(since) => READ_PATIENCE.saturating_sub(since),
+/// How long a connection has been waited on.
+struct Waited {
+    /// Since its last message.
+    idle: Duration,
+    /// Since the first byte of its next message, if a part is there.
+    partial: Option<Duration>,
+    /// Since it was accepted, if it has not brought a message yet.
+    unasked: Option<Duration>,
+}
+
+impl Waited {
+    /// How much longer it is read.
+    fn left(&self, idle_limit: Duration, closed: bool) -> Duration {
+        let first = self.unasked.map_or(Duration::MAX, |since| FIRST_PATIENCE.saturating_sub(since));
+        let next = match self.partial {
+            None => idle_limit.saturating_sub(self.idle),
+            // A length that lies must not hold up the end of a drain.
+            Some(_) if closed => Duration::ZERO,
+            // Counted from the first byte: an idle connection may bring a request in two parts at any time.
+            Some(since) => READ_PATIENCE.saturating_sub(since),
+        };
+        next.min(first)
     }
 }
 
@@ -183,8 +195,8 @@
 /// Closes towards the caller, and reads on for a moment.
 fn linger(stream: &mut impl Stream) {
     stream.end();
-    let _ = stream.tcp().shutdown(Shutdown::Write);
-    let _ = stream.tcp().set_read_timeout(Some(LINGER.1));
+    stream.conn().shutdown(Shutdown::Write);
+    stream.conn().set_read_patience(LINGER.1);
     let (mut bytes, mut total, since) = (Vec::new(), 0, Instant::now());
     while total < LINGER.0 && since.elapsed() < LINGER.1 {
         bytes.clear();
@@ -203,9 +215,15 @@
     fn a_request_in_parts_has_its_time_from_its_first_byte() {
         // Guards against a request that came in two parts after a long idle time being called too slow.
         let (s, ms) = (Duration::from_secs, Duration::from_millis);
-        assert_eq!(time_left(s(25), Some(ms(1)), s(30), false), READ_PATIENCE - ms(1));
-        assert_eq!(time_left(s(25), None, s(30), false), s(5));
-        assert_eq!(time_left(s(1), Some(ms(1)), s(30), true), Duration::ZERO);
-        assert_eq!(time_left(s(60), Some(s(11)), s(30), false), Duration::ZERO);
+        let left = |idle, partial, unasked, closed| Waited { idle, partial, unasked }.left(s(30), closed);
+        assert_eq!(left(s(25), Some(ms(1)), None, false), READ_PATIENCE - ms(1));
+        assert_eq!(left(s(25), None, None, false), s(5));
+        assert_eq!(left(s(1), Some(ms(1)), None, true), Duration::ZERO);
+        assert_eq!(left(s(60), Some(s(11)), None, false), Duration::ZERO);
+        // And against half a request on a new connection, or nothing, that keeps its place for long.
+        for partial in [None, Some(ms(100))] {
+            assert_eq!(left(s(1), partial, Some(s(1)), false), FIRST_PATIENCE - s(1));
+            assert_eq!(left(s(3), partial, Some(s(3)), false), Duration::ZERO);
+        }
     }
 }
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -1,10 +1,10 @@
 //! Lines and counted bytes off a stream, within a bound.
 
 use std::io;
+use std::time::Instant;
 
-use may::net::TcpStream;
-
-use super::front::read_some;
+use super::front::{is_timeout, read_some};
+use super::stream::Conn;
 use crate::core::End;
 
 /// The longest line or body that a link may bring.
@@ -12,14 +12,25 @@
 
 /// What was read off a link and not yet used.
 pub(super) struct Buffer {
-    stream: TcpStream,
+    stream: Conn,
     bytes: Vec<u8>,
     used: usize,
+    until: Option<Instant>,
 }
 
 impl Buffer {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self { stream, bytes: Vec::new(), used: 0 }
+    pub(super) fn new(stream: Conn) -> Self {
+        Self { stream, bytes: Vec::new(), used: 0, until: None }
+    }
+
+    /// Waits no longer than to this time.
+    pub(super) fn until(&mut self, until: Instant) {
+        self.until = Some(until);
+    }
+
+    /// All that came was used.
+    pub(super) fn is_empty(&self) -> bool {
+        self.used == self.bytes.len()
     }
 
     /// The next line, without its end.
@@ -54,10 +65,17 @@
             return Err(End::Malformed);
         }
         loop {
+            if let Some(until) = self.until {
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return Err(End::Overdue);
+                }
+                self.stream.set_read_patience(left);
+            }
             match read_some(&mut self.stream, &mut self.bytes) {
                 Ok(0) => return Err(End::Broken),
                 Ok(_) => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Err(End::Broken),
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,12 +11,13 @@
 mod lines;
 pub mod scgi;
 mod spawn;
+mod stream;
 mod tls;
 pub mod vault;
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,13 +25,15 @@
 
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc as co;
+use socket2::SockRef;
 use tracing::{info, warn};
 
 use crate::acme::Shared;
 use crate::core::{Answer, ConnId, Core, Effect, Input, Query};
-use crate::settings::Config;
+use crate::settings::{Config, Links};
 use spawn::spawn_deep;
 pub use spawn::{spawn, start_runtime};
+use stream::Conn;
 
 /// Inputs that may wait for the reducer; beyond that, whoever brings more waits.
 const INBOX_ROOM: usize = 4096;
@@ -39,6 +42,13 @@
 /// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime; half
 /// of them where there are few.
 const RESERVED_SOCKETS: usize = 128;
+/// Connections that were closed to make room and whose coroutines have not noticed yet.
+const MOST_EVICTED: usize = 16;
+/// A connection keeps its place for so long after it was accepted or answered: its request may be on the way.
+const EVICT_AFTER: Duration = Duration::from_millis(100);
+/// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
+/// memory than that for each of many such callers.
+const SEND_BUFFER: usize = 16 << 10;
 /// Wait after a failed accept, so that a full table of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// While leaving, the connections are looked at this often.
@@ -74,20 +84,22 @@
 pub struct Hub {
     inbox: Sender<Input>,
     waiting: AtomicUsize,
-    ports: Mutex<HashMap<ConnId, co::Sender<Arc<Answer>>>>,
+    ports: Mutex<Ports>,
     next_conn: AtomicU64,
     most_connections: usize,
     trim_us: AtomicU64,
     closed: AtomicBool,
     queries: Mutex<HashMap<u64, Sender<Lines>>>,
     next_query: AtomicU64,
+    /// Where the links are to lead, since the configuration was last read.
+    links: Mutex<Links>,
 }
 
 /// Names and values for people.
 type Lines = Vec<(String, String)>;
 
 impl Hub {
-    fn new(inbox: Sender<Input>, most_connections: usize) -> Self {
+    fn new(inbox: Sender<Input>, most_connections: usize, links: Links) -> Self {
         Self {
             inbox,
             waiting: AtomicUsize::new(0),
@@ -98,6 +110,7 @@
             closed: AtomicBool::new(false),
             queries: Mutex::default(),
             next_query: AtomicU64::new(1),
+            links: Mutex::new(links),
         }
     }
 
@@ -115,20 +128,34 @@
         self.queries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn ports(&self) -> MutexGuard<'_, HashMap<ConnId, co::Sender<Arc<Answer>>>> {
+    fn ports(&self) -> MutexGuard<'_, Ports> {
         self.ports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Where the links are to lead.
+    fn links(&self) -> Links {
+        *self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A place for a new connection, and where its answers come; none if there is no room.
-    fn open(self: &Arc<Self>) -> Option<Port> {
-        let mut ports = self.ports();
-        if ports.len() >= self.most_connections {
-            return None;
-        }
+    fn open(self: &Arc<Self>, stream: &Conn) -> Option<Port> {
         let conn = self.next_conn.fetch_add(1, Ordering::Relaxed);
-        let (sender, answers) = co::channel();
-        ports.insert(conn, sender);
-        Some(Port { conn, answers, hub: self.clone() })
+        let (answer, answers) = co::channel();
+        let accepted = Instant::now();
+        let place = Place {
+            answer,
+            stream: stream.clone(),
+            asked: false,
+            busy: false,
+            evicted: false,
+            since: accepted,
+        };
+        self.ports().take_in(conn, place, self.most_connections).then(|| Port {
+            conn,
+            answers,
+            accepted,
+            hub: self.clone(),
+        })
     }
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
@@ -145,27 +172,92 @@
     }
 }
 
+/// A connection of a caller, as the others see it.
+struct Place {
+    answer: co::Sender<Arc<Answer>>,
+    stream: Conn,
+    /// It has brought a whole message.
+    asked: bool,
+    /// A message of it is not answered yet.
+    busy: bool,
+    /// It was closed to make room, and its coroutine has not noticed yet.
+    evicted: bool,
+    /// When it was accepted, or last answered.
+    since: Instant,
+}
+
+/// The connections of callers.
+#[derive(Default)]
+struct Ports {
+    places: HashMap<ConnId, Place>,
+    evicted: usize,
+}
+
+impl Ports {
+    /// Takes in a connection; false if there is no room and none can be made. Clients that connect and say
+    /// nothing must not keep out those that do: they make room first, then whoever has been idle for longest.
+    fn take_in(&mut self, conn: ConnId, place: Place, most: usize) -> bool {
+        if self.places.len() - self.evicted >= most
+            && (self.evicted >= MOST_EVICTED || !self.evict(place.since))
+        {
+            return false;
+        }
+        self.places.insert(conn, place);
+        true
+    }
+
+    fn evict(&mut self, now: Instant) -> bool {
+        let rests = |p: &&mut Place| !p.busy && !p.evicted && now.duration_since(p.since) >= EVICT_AFTER;
+        let Some(place) = self.places.values_mut().filter(rests).min_by_key(|p| (p.asked, p.since)) else {
+            return false;
+        };
+        place.evicted = true;
+        self.evicted += 1;
+        place.stream.shutdown(Shutdown::Both);
+        true
+    }
+}
+
 /// A connection's place among all; it is given up however the connection's coroutine ends.
 struct Port {
     conn: ConnId,
     answers: co::Receiver<Arc<Answer>>,
+    accepted: Instant,
     hub: Arc<Hub>,
 }
 
 impl Port {
     fn serve(&self, stream: impl front::Stream, wire: impl front::Wire) {
-        front::serve(stream, wire, self.conn, &self.answers, &self.hub);
+        front::serve(stream, wire, self);
+    }
+
+    /// A message was read: from now on the connection is owed an answer. False if it was closed before.
+    fn asks(&self) -> bool {
+        let mut ports = self.hub.ports();
+        let Some(place) = ports.places.get_mut(&self.conn).filter(|p| !p.evicted) else { return false };
+        (place.asked, place.busy) = (true, true);
+        true
+    }
+
+    /// The message was answered.
+    fn rests(&self) {
+        if let Some(place) = self.hub.ports().places.get_mut(&self.conn) {
+            (place.busy, place.since) = (false, Instant::now());
+        }
     }
 }
 
 impl Drop for Port {
     fn drop(&mut self) {
-        self.hub.ports().remove(&self.conn);
+        let mut ports = self.hub.ports();
+        if ports.places.remove(&self.conn).is_some_and(|place| place.evicted) {
+            ports.evicted -= 1;
+        }
     }
 }
 
 /// Takes connections on a front until the server leaves.
-fn accept(listener: TcpListener, hub: &Arc<Hub>, serve: impl Fn(TcpStream, Port)) {
+fn accept(listener: TcpListener, hub: &Arc<Hub>, serve: impl Fn(Conn, Port)) {
     loop {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
@@ -179,7 +271,9 @@
             return;
         }
         // Past the limit new connections are closed unread; what was read keeps its descriptor.
-        if let Some(port) = hub.open() {
+        let _ = SockRef::from(stream.inner()).set_send_buffer_size(SEND_BUFFER);
+        let stream = Conn::new(stream, front::WRITE_PATIENCE);
+        if let Some(port) = hub.open(&stream) {
             serve(stream, port);
         }
     }
@@ -189,7 +283,7 @@
 fn listen(
     address: SocketAddr,
     hub: &Arc<Hub>,
-    serve: impl Fn(TcpStream, Port) + Send + 'static,
+    serve: impl Fn(Conn, Port) + Send + 'static,
 ) -> io::Result<SocketAddr> {
     // May's listener shares its port with any other that does the same: a second server started by mistake would
     // take half of the first one's callers. A plain listener fails where somebody listens.
@@ -216,6 +310,19 @@
         self.0.push(Input::Drain);
     }
 
+    /// Moves the links to new addresses. A link that was on stays on: the program cannot do without.
+    pub fn reload(&self, links: Links) {
+        let mut held = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let or = |new: Option<SocketAddr>, old: Option<SocketAddr>| new.filter(|_| old.is_some()).or(old);
+        *held = Links {
+            agent: or(links.agent, held.agent),
+            vault: or(links.vault, held.vault),
+            control: or(links.control, held.control),
+        };
+        drop(held);
+        self.0.push(Input::Reload);
+    }
+
     /// Asks the reducer, and waits for its answer; to be called from threads only.
     pub fn query(&self, query: Query, patience: Duration) -> Option<Vec<(String, String)>> {
         let (sender, receiver) = std::sync::mpsc::channel();
@@ -264,7 +371,7 @@
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
         let most = (config.sockets - RESERVED_SOCKETS.min(config.sockets / 2)).max(1);
-        let hub = Arc::new(Hub::new(sender, most));
+        let hub = Arc::new(Hub::new(sender, most, config.links()));
         let classes = config.site.class_names.clone();
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
         let mut listeners = Vec::new();
@@ -293,17 +400,17 @@
             bound("tls.listen", "HTTPS", address, listen(address, &hub, secure))?;
         }
         let runner = match (config.agent, config.appliance.scgi_application) {
-            (Some(address), _) => Runner::Agent(agent::Link::start(address, classes, &hub)),
+            (Some(_), _) => Runner::Agent(agent::Link::start(classes, &hub)),
             (None, Some(address)) => Runner::Application(scgi::Application::new(address, classes, &hub)),
             (None, None) => Runner::None,
         };
         let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
             Some(address) => Below::Scgi(address),
-            None => Below::Vault(vault::Link::start(config.vault, &hub)),
+            None => Below::Vault(vault::Link::start(&hub)),
         };
         let control = Arc::new(AtomicBool::new(true));
-        if let Some(address) = config.control {
-            control::start(address, config.listen.ip(), config.name.clone(), control.clone());
+        if config.control.is_some() {
+            control::start(&hub, config.listen.ip(), config.name.clone(), control.clone());
         }
         Ok(Self { core, clock, hub, inbox, runner, below, control, listeners })
     }
@@ -334,7 +441,7 @@
                 leaving |= effect == Effect::Leave;
                 self.perform(effect);
             }
-            if leaving && self.hub.ports().is_empty() {
+            if leaving && self.hub.ports().places.is_empty() {
                 break;
             }
         }
@@ -344,8 +451,8 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { conn, answer } => {
-                if let Some(port) = self.hub.ports().get(&conn) {
-                    let _ = port.send(answer);
+                if let Some(place) = self.hub.ports().places.get(&conn) {
+                    let _ = place.answer.send(answer);
                 }
             }
             Effect::Agent(command) => match &self.runner {
@@ -353,8 +460,10 @@
                 Runner::Application(application) => application.send(command),
                 Runner::None => {}
             },
-            Effect::Call { handle, attempt, patience, body } => match &self.below {
-                Below::Vault(vault) => vault.send(vault::Order::Ask { handle, attempt, patience, body }),
+            Effect::Call { handle, attempt, once, patience, body } => match &self.below {
+                Below::Vault(vault) => {
+                    vault.send(vault::Order::Ask { handle, attempt, once, patience, body })
+                }
                 Below::Scgi(service) => scgi::call(*service, &self.hub, handle, attempt, patience, body),
             },
             Effect::Uncall { handle } => {
@@ -371,6 +480,16 @@
                 info!("leaving: counters so far: {}", self.core.counters());
                 self.control.store(false, Ordering::Relaxed);
             }
+            Effect::Relink => {
+                let links = self.hub.links();
+                info!("the configuration was read again: {links:?}");
+                if let Runner::Agent(agent) = &self.runner {
+                    agent.relink();
+                }
+                if let Below::Vault(vault) = &self.below {
+                    vault.send(vault::Order::Relink);
+                }
+            }
             Effect::StopListening => {
                 self.hub.closed.store(true, Ordering::Relaxed);
                 self.listeners.iter().for_each(|at| stop_listening(*at));
--- a/src/net/tls.rs
+++ b/src/net/tls.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use may::net::TcpStream;
 use rustls::crypto::ring::default_provider;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -14,17 +13,18 @@
 use rustls::{ServerConfig, ServerConnection, StreamOwned};
 
 use super::front::Stream;
+use super::stream::Conn;
 use crate::acme::{Certificate, Shared};
 
 /// A handshake must be over within this time.
 const HANDSHAKE_PATIENCE: Duration = Duration::from_secs(10);
 
 /// A connection under TLS.
-pub(super) type Tls = StreamOwned<ServerConnection, TcpStream>;
+pub(super) type Tls = StreamOwned<ServerConnection, Conn>;
 
 impl Stream for Tls {
-    fn tcp(&self) -> &TcpStream {
-        &self.sock
+    fn conn(&mut self) -> &mut Conn {
+        &mut self.sock
     }
 
     fn end(&mut self) {
@@ -73,16 +73,15 @@
 }
 
 /// Shakes hands with a caller.
-pub(super) fn accept(mut stream: TcpStream, config: &Arc<ServerConfig>) -> io::Result<Tls> {
+pub(super) fn accept(mut stream: Conn, config: &Arc<ServerConfig>) -> io::Result<Tls> {
     let mut conn = ServerConnection::new(config.clone()).map_err(io::Error::other)?;
     let until = Instant::now() + HANDSHAKE_PATIENCE;
-    stream.set_write_timeout(Some(HANDSHAKE_PATIENCE))?;
     while conn.is_handshaking() {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        stream.set_read_timeout(Some(left))?;
+        stream.set_read_patience(left);
         conn.complete_io(&mut stream)?;
     }
     Ok(StreamOwned::new(conn, stream))
--- a/src/net/vault.rs
+++ b/src/net/vault.rs
@@ -1,16 +1,19 @@
-//! Calls below through the vault: text lines, many calls on one connection, replies in any order.
+//! Calls below through the vault: text lines.
+//!
+//! One connection can carry many calls, but a spoilt reply, one that never comes or a reset makes it of no use to
+//! all of them. So each call has a connection to itself, and the next one may take it over once it was answered.
 
 use std::collections::HashMap;
-use std::io::{self, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::io::Write;
+use std::net::Shutdown;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use may::net::TcpStream;
-use may::sync::mpsc::{channel, Receiver, Sender};
 use tracing::debug;
 
+use super::front::is_timeout;
 use super::lines::Buffer;
+use super::stream::Conn;
 use super::{spawn, Hub};
 use crate::core::{Bytes, End, Handle, Input};
 
@@ -18,8 +21,12 @@
 const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
 /// A vault that reads nothing for this long is taken to be gone.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
-/// A connection without calls is closed after this long: before the vault does, which a call could cross.
-const IDLE: Duration = Duration::from_secs(6);
+/// A connection is taken over within this time. A vault that forgets idle ones resets them at the next call.
+const IDLE: Duration = Duration::from_millis(500);
+/// Connections that wait to be taken over.
+const MOST_IDLE: usize = 16;
+/// Calls at once, and so connections; far more than the module makes. They come out of what is kept back.
+const MOST_CALLS: usize = 64;
 /// The longest reply.
 const MOST_REPLY: usize = 16 << 10;
 
@@ -31,6 +38,8 @@
         handle: Handle,
         /// Which of the request's calls.
         attempt: u32,
+        /// It may have had its effect if its connection breaks, and must not be made again then.
+        once: bool,
         /// How long it is waited for.
         patience: Duration,
         /// Its body.
@@ -41,142 +50,144 @@
         /// The request.
         handle: Handle,
     },
+    /// The address may have changed.
+    Relink,
+}
+
+/// Connections, and the calls that are out.
+#[derive(Default)]
+struct Pool {
+    /// For each request its call, and the connection that it has once there is one.
+    out: HashMap<Handle, (u32, Option<Conn>)>,
+    /// Connections without a call, since when; the last one was in use last.
+    idle: Vec<(Conn, Instant)>,
+    /// Changes with the address: a connection to an old one is not taken over.
+    epoch: u64,
 }
 
 /// Where calls go.
 pub struct Link {
-    orders: Sender<Order>,
+    hub: Arc<Hub>,
+    pool: Arc<Mutex<Pool>>,
+}
+
+fn lock(pool: &Mutex<Pool>) -> MutexGuard<'_, Pool> {
+    pool.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Link {
-    /// Waits for calls; without an address none can be made, which each is told.
-    pub fn start(address: Option<SocketAddr>, hub: &Arc<Hub>) -> Self {
-        let (orders, received) = channel();
-        let hub = hub.clone();
-        spawn(move || Caller { address, hub, line: None }.take_orders(&received));
-        Self { orders }
+    /// Nothing is connected until there is a call; without an address none can be made, which each is told.
+    pub(super) fn start(hub: &Arc<Hub>) -> Self {
+        Self { hub: hub.clone(), pool: Arc::default() }
     }
 
-    /// Queues an order; never waits.
+    /// Carries out an order; never waits.
     pub fn send(&self, order: Order) {
-        let _ = self.orders.send(order);
-    }
-}
-
-/// Calls that are out on one connection; none once the connection has ended.
-type Open = Arc<Mutex<Option<HashMap<Handle, u32>>>>;
-
-fn lock(open: &Open) -> MutexGuard<'_, Option<HashMap<Handle, u32>>> {
-    open.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-struct Caller {
-    address: Option<SocketAddr>,
-    hub: Arc<Hub>,
-    line: Option<(TcpStream, Open)>,
-}
-
-impl Caller {
-    fn take_orders(mut self, orders: &Receiver<Order>) {
-        loop {
-            match orders.recv_timeout(IDLE) {
-                Ok(Order::Ask { handle, attempt, patience, body }) => {
-                    self.ask(handle, attempt, patience, &body);
-                }
-                Ok(Order::Unask { handle }) => self.unask(handle),
-                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {
-                    if self
-                        .line
-                        .as_ref()
-                        .is_some_and(|(_, open)| lock(open).as_ref().is_none_or(HashMap::is_empty))
-                    {
-                        self.hang_up();
+        match order {
+            Order::Ask { handle, attempt, once, patience, body } => {
+                let mut pool = lock(&self.pool);
+                let room = pool.out.len() < MOST_CALLS;
+                if room {
+                    if let Some((_, Some(conn))) = pool.out.insert(handle, (attempt, None)) {
+                        conn.shutdown(Shutdown::Both);
                     }
                 }
-                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+                drop(pool);
+                let (hub, pool) = (self.hub.clone(), self.pool.clone());
+                spawn(move || {
+                    // A connection with a past may bring a late copy of this request's last reply, or be forgotten.
+                    let fresh = once || attempt > 1;
+                    let (end, reply) = match room {
+                        true => call(&hub, &pool, handle, attempt, fresh, patience, &body),
+                        false => (End::Refused, None),
+                    };
+                    hub.push(Input::CallEnded { handle, attempt, end, reply });
+                });
             }
-        }
-    }
-
-    fn ask(&mut self, handle: Handle, attempt: u32, patience: Duration, body: &[u8]) {
-        let call = encode_ask(handle, patience, body);
-        // A connection that ended before anything of this call was sent says nothing about it.
-        let noted = self.line.as_ref().is_some_and(|(_, open)| note(open, handle, attempt));
-        if !noted {
-            self.hang_up();
-            match self.connect() {
-                Ok(line) => {
-                    note(&line.1, handle, attempt);
-                    self.line = Some(line);
-                }
-                Err(e) => {
-                    debug!("no connection to the vault: {e}");
-                    let end = End::Refused;
-                    return self.hub.push(Input::CallEnded { handle, attempt, end, reply: None });
+            Order::Unask { handle } => {
+                // Closing a connection gives up the call on it.
+                if let Some((_, Some(conn))) = lock(&self.pool).out.remove(&handle) {
+                    conn.shutdown(Shutdown::Both);
                 }
             }
+            Order::Relink => {
+                // What is out on old connections may end there.
+                let mut pool = lock(&self.pool);
+                pool.epoch += 1;
+                pool.idle.clear();
+            }
         }
-        self.write(&call);
     }
+}
 
-    fn unask(&mut self, handle: Handle) {
-        let Some((_, open)) = &self.line else { return };
-        if lock(open).as_mut().is_some_and(|calls| calls.remove(&handle).is_some()) {
-            self.write(format!("unask {handle}\r\n").as_bytes());
-        }
-    }
+/// A connection for a call: one that was answered on just now, or a new one.
+fn connection(hub: &Hub, pool: &Mutex<Pool>, fresh: bool, patience: Duration) -> Option<(Conn, u64)> {
+    let (epoch, taken) = {
+        let mut pool = lock(pool);
+        pool.idle.retain(|(_, since)| since.elapsed() < IDLE);
+        let usable = |at: usize, pool: &Pool| pool.idle[at].0.is_quiet();
+        let at = (0..pool.idle.len()).rev().find(|at| !fresh && usable(*at, &pool));
+        (pool.epoch, at.map(|at| pool.idle.remove(at).0))
+    };
+    let conn = match (taken, hub.links().vault) {
+        (Some(conn), _) => conn,
+        (None, Some(address)) => Conn::connect(address, CONNECT_PATIENCE.min(patience), WRITE_PATIENCE)
+            .map_err(|e| debug!("no connection to the vault: {e}"))
+            .ok()?,
+        (None, None) => return None,
+    };
+    Some((conn, epoch))
+}
 
-    fn write(&mut self, bytes: &[u8]) {
-        let Some((stream, _)) = &mut self.line else { return };
-        if stream.write_all(bytes).is_err() {
-            // The reader wakes up on the shutdown, and ends all calls that were out.
-            self.hang_up();
-        }
+/// Makes one call and tells how it ended. Only what broke before the call was written is known not to have run.
+fn call(
+    hub: &Hub,
+    pool: &Mutex<Pool>,
+    handle: Handle,
+    attempt: u32,
+    fresh: bool,
+    patience: Duration,
+    body: &[u8],
+) -> (End, Option<Bytes>) {
+    let until = Instant::now() + patience;
+    let Some((mut conn, epoch)) = connection(hub, pool, fresh, patience) else {
+        lock(pool).out.remove(&handle);
+        return (End::Refused, None);
+    };
+    match lock(pool).out.get_mut(&handle).filter(|(current, _)| *current == attempt) {
+        Some((_, held)) => *held = Some(conn.clone()),
+        // Given up before it was made.
+        None => return (End::Cancelled, None),
     }
-
-    fn hang_up(&mut self) {
-        if let Some((stream, _)) = self.line.take() {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+    let mut lines = Buffer::new(conn.clone());
+    let ended = match conn.write_all(&encode_ask(handle, patience, body)) {
+        Ok(()) => read_reply(&mut lines, handle, until),
+        Err(e) => Err(if is_timeout(&e) { End::Stalled } else { End::Broken }),
+    };
+    let mut pool = lock(pool);
+    if pool.out.get(&handle).is_some_and(|(current, _)| *current == attempt) {
+        pool.out.remove(&handle);
     }
-
-    fn connect(&self) -> io::Result<(TcpStream, Open)> {
-        let address = self.address.ok_or(io::ErrorKind::NotConnected)?;
-        let stream = TcpStream::connect_timeout(&address, CONNECT_PATIENCE)?;
-        let _ = stream.set_nodelay(true);
-        let _ = stream.set_write_timeout(Some(WRITE_PATIENCE));
-        let reads = Buffer::new(stream.try_clone()?);
-        let open: Open = Arc::new(Mutex::new(Some(HashMap::new())));
-        let (hub, of_reader) = (self.hub.clone(), open.clone());
-        spawn(move || {
-            let end = read_replies(reads, &of_reader, &hub);
-            for (handle, attempt) in lock(&of_reader).take().unwrap_or_default() {
-                hub.push(Input::CallEnded { handle, attempt, end, reply: None });
-            }
-        });
-        Ok((stream, open))
+    // A connection that brought more than its own reply, or none that can be read, is not used again.
+    if ended.is_ok() && lines.is_empty() && pool.epoch == epoch && pool.idle.len() < MOST_IDLE {
+        pool.idle.push((conn, Instant::now()));
+    } else {
+        conn.shutdown(Shutdown::Both);
     }
+    ended.unwrap_or_else(|end| (end, None))
 }
 
-fn note(open: &Open, handle: Handle, attempt: u32) -> bool {
-    lock(open).as_mut().map(|calls| calls.insert(handle, attempt)).is_some()
-}
-
-fn read_replies(mut lines: Buffer, open: &Open, hub: &Hub) -> End {
+/// Reads up to the reply of this request; replies under other ids are nobody's.
+fn read_reply(lines: &mut Buffer, handle: Handle, until: Instant) -> Result<(End, Option<Bytes>), End> {
+    lines.until(until);
     loop {
-        let (handle, end, len) = match lines.line().and_then(|line| parse_reply(&line)) {
-            Ok(reply) => reply,
-            Err(end) => return end,
-        };
-        let reply = match len.map(|len| lines.exact(len).and_then(|body| lines.line().map(|_| body))) {
-            None => None,
-            Some(Ok(body)) => Some(body.into()),
-            Some(Err(end)) => return end,
-        };
-        // A reply to a call that was given up meanwhile is nobody's.
-        let attempt = lock(open).as_mut().and_then(|calls| calls.remove(&handle));
-        if let Some(attempt) = attempt {
-            hub.push(Input::CallEnded { handle, attempt, end, reply });
+        let (whose, end, len) = parse_reply(&lines.line()?)?;
+        let body = len.map(|len| lines.exact(len)).transpose()?;
+        if body.is_some() && !lines.line()?.is_empty() {
+            return Err(End::Malformed);
+        }
+        if whose == handle {
+            return Ok((end, body.map(Bytes::from)));
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -270,6 +270,17 @@
     pub appliance: Appliance,
 }
 
+/// The part of a configuration that a running program takes up anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Links {
+    /// The agent.
+    pub agent: Option<SocketAddr>,
+    /// Where calls below are made.
+    pub vault: Option<SocketAddr>,
+    /// Where reports of being alive go.
+    pub control: Option<SocketAddr>,
+}
+
 /// What `deploy/appliance.json` switches on; all of it is off where that file is absent.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Appliance {
@@ -405,6 +416,11 @@
         Ok(config)
     }
 
+    /// Where the links lead.
+    pub fn links(&self) -> Links {
+        Links { agent: self.agent, vault: self.vault, control: self.control }
+    }
+
     /// The configuration in lines, for people.
     pub fn describe(&self) -> Vec<(String, String)> {
         let s = &self.site.settings;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -111,6 +111,27 @@
     assert_eq!(bench.answers(1), [&served(b"\0made")]);
 }
 
+#[test]
+fn a_key_with_another_body_or_class_is_turned_back_and_never_served() {
+    // Guards against a client that names the key of another's request and is handed its result.
+    let mut bench = Bench::new();
+    let first = bench.send(10, "lobby-confirm", Some("k"));
+    let send_other = |bench: &mut Bench, at| {
+        let Input::Request(mut other) = bench.request(at, "lobby-confirm", Some("k")) else { unreachable!() };
+        other.body = Arc::from(*b"other");
+        bench.step(at, [Input::Request(other)]);
+    };
+    send_other(&mut bench, 20);
+    bench.complete(60, first, b"once");
+    send_other(&mut bench, 70);
+    bench.send(80, "lobby-confirm", Some("k"));
+    for conn in [2, 3] {
+        assert!(matches!(bench.answers(conn)[..], [Verdict::Invalid(_)]), "{:?}", bench.answers(conn));
+    }
+    assert_eq!(bench.answers(4), [&served(b"once")]);
+    assert_eq!((bench.launches(), bench.core.counters().key_conflicts), (1, 2));
+}
+
 #[test]
 fn a_repeat_of_a_running_key_waits_for_its_result_and_a_later_one_gets_the_kept_result() {
     let mut bench = Bench::new();
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -5,7 +5,8 @@
 mod scgi;
 mod stand_in;
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -182,6 +183,74 @@
     });
 }
 
+fn moved(from: SocketAddr, to: SocketAddr) -> (String, String) {
+    (from.to_string(), to.to_string())
+}
+
+#[test]
+fn on_a_hangup_the_links_move_and_runs_keys_and_notices_carry_on() {
+    // Guards against a hangup that ends the process, and a move that loses or repeats a launch.
+    let agent = Agent::start(2, Duration::from_millis(150), true);
+    let program = Program::start(with_agent(&agent));
+    assert_eq!(exchange(program.http, &Ask::keyed("old", b"o").http()).status, 200);
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::keyed("k", b"x").http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 2);
+    let (new, control) = (agent.moved(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    control.set_read_timeout(Some(PATIENCE)).unwrap();
+    let was = program.control.local_addr().unwrap();
+    program.reload(&[moved(agent.address, new.address), moved(was, control.local_addr().unwrap())]);
+    assert_eq!(read_answer(&mut stream).body, b"made:xreply:x");
+    program.wait_for_log(&format!("linked to the agent at {}", new.address));
+    assert_eq!(exchange(program.http, &Ask::keyed("old", b"o").http()).body, b"made:oreply:o");
+    assert_eq!((agent.launches().len(), program.counter("links_lost")), (2, 0));
+    assert_eq!(agent.subscribed()[0], 0);
+    assert!(agent.subscribed()[1] >= 2, "the notices carry on: {:?}", agent.subscribed());
+    assert!(control.recv(&mut [0; 64]).is_ok());
+}
+
+#[test]
+fn a_bad_file_at_a_hangup_is_told_and_changes_nothing() {
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(with_agent(&agent));
+    program.reload(&[("\"cores\": 6".to_string(), "\"cores\": 0".to_string())]);
+    program.wait_for_log("the configuration stays as it was: settings: the settings name no cores");
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"ok").http()).body, b"made:ok");
+}
+
+#[test]
+fn a_spoilt_reply_ends_no_other_call_and_replies_of_others_are_passed_over() {
+    // Guards against a reply that ends every call with it: each had the connection to share.
+    let agent = Agent::start(2, QUICK, true);
+    let program = Program::start(Setup { vault: Some(spoiling_vault()), ..with_agent(&agent) });
+    let mut good = connect(program.http);
+    good.write_all(&Ask::keyed("good", b"good").http()).unwrap();
+    wait_for("the call", || program.counter("calls_made") == 1);
+    assert_eq!(exchange(program.http, &Ask::keyed("bad", b"bad").http()).status, 500);
+    assert_eq!(read_answer(&mut good).body, b"made:goodreply:good");
+    for body in [&b"one"[..], b"two"] {
+        let answer = exchange(program.http, &Ask::new("queue-status", body).http());
+        assert_eq!(answer.body, [b"made:", body, b"reply:", body].concat());
+    }
+    assert_eq!((program.counter("call_malformed"), program.counter("call_complete")), (1, 3));
+}
+
+#[test]
+fn clients_that_say_nothing_make_room_for_those_that_ask() {
+    // Guards against a table full of silent connections that keeps the gateways out.
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(Setup { sockets: Some(6), ..with_agent(&agent) });
+    let mut silent: Vec<_> = (0..3).map(|_| connect(program.http)).collect();
+    let since = Instant::now();
+    wait_for("a place", || {
+        let mut stream = connect(program.http);
+        let _ = stream.write_all(&Ask::new("queue-status", b"b").http());
+        stream.read(&mut [0]).is_ok_and(|n| n == 1)
+    });
+    assert!(is_closed(&mut silent[0]), "who was silent for longest makes room");
+    assert!(since.elapsed() < Duration::from_secs(2), "before it would be closed in any case");
+}
+
 #[test]
 fn a_second_program_does_not_share_the_address() {
     let agent = Agent::start(1, QUICK, false);
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -49,16 +49,16 @@
     pub address: SocketAddr,
     told: Arc<Mutex<Told>>,
     busy: Arc<AtomicUsize>,
+    queue: mpsc::Sender<(String, Vec<u8>)>,
     cores: usize,
 }
 
 impl Agent {
     /// With `calls`, each run makes one call halfway.
     pub fn start(cores: usize, work: Duration, calls: bool) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let agent = Self { address, told: Arc::default(), busy: Arc::default(), cores };
         let (queue, work_queue) = mpsc::channel::<(String, Vec<u8>)>();
+        let agent =
+            Self { address: gone(), told: Arc::default(), busy: Arc::default(), queue, cores }.moved();
         let work_queue = Arc::new(Mutex::new(work_queue));
         for _ in 0..cores {
             let (agent, work_queue) = (agent.clone(), work_queue.clone());
@@ -67,11 +67,18 @@
                 agent.run(&handle, &arg, work, calls);
             });
         }
+        agent
+    }
+
+    /// The same agent at a new address; at the old one it goes on as well.
+    pub fn moved(&self) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let agent = Self { address: listener.local_addr().unwrap(), ..self.clone() };
         let of_links = agent.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (agent, queue) = (of_links.clone(), queue.clone());
-                thread::spawn(move || agent.link(stream, &queue));
+                let agent = of_links.clone();
+                thread::spawn(move || agent.link(stream));
             }
         });
         agent
@@ -104,7 +111,7 @@
         }
     }
 
-    fn link(&self, stream: TcpStream, queue: &mpsc::Sender<(String, Vec<u8>)>) {
+    fn link(&self, stream: TcpStream) {
         stream.set_nodelay(true).unwrap();
         for line in BufReader::new(stream.try_clone().unwrap()).lines() {
             let Ok(line) = line else { return };
@@ -126,7 +133,7 @@
                 "launch" if told.launches.iter().any(|(h, ..)| *h == handle) => {}
                 "launch" => {
                     told.launches.push((handle.clone(), text(json, "entry").to_string(), arg.clone()));
-                    queue.send((handle, arg)).unwrap();
+                    self.queue.send((handle, arg)).unwrap();
                 }
                 "deliver" => drop(told.replies.insert(handle, arg)),
                 "forgo" => drop(told.replies.insert(handle, Vec::new())),
@@ -184,6 +191,42 @@
     address
 }
 
+/// A vault that answers the call with the body `bad` by noise, and others well once there was such a one: behind
+/// a reply that is nobody's, and with a second copy.
+pub fn spoiling_vault() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let spoilt = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let spoilt = spoilt.clone();
+            thread::spawn(move || {
+                let mut reads = BufReader::new(stream.try_clone().unwrap());
+                let (mut writes, mut line) = (stream, String::new());
+                while reads.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let words: Vec<_> = line.split_whitespace().map(str::to_string).collect();
+                    let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                    reads.read_exact(&mut body).unwrap();
+                    body.truncate(body.len() - 2);
+                    if body == b"bad" {
+                        spoilt.fetch_add(1, Ordering::Relaxed);
+                        let _ = writes.write_all(b"\xff\xfe?\r\n");
+                    } else {
+                        wait_for("a spoilt reply", || spoilt.load(Ordering::Relaxed) > 0);
+                        let len = body.len() + 6;
+                        let head = format!("{} yes {len}\r\nreply:", words[1]);
+                        let reply = [head.as_bytes(), &body, b"\r\n"];
+                        let stray = b"00000000000000ff yes 2\r\nno\r\n".to_vec();
+                        writes.write_all(&[stray, reply.concat(), reply.concat()].concat()).unwrap();
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
 /// A vault that reads a call and breaks the connection.
 pub fn broken_vault() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -237,7 +280,8 @@
     pub scgi: SocketAddr,
     log: Arc<Mutex<String>>,
     pub control: UdpSocket,
-    _dir: Scratch,
+    config: String,
+    dir: Scratch,
 }
 
 /// Parts of the configuration that tests set.
@@ -330,7 +374,8 @@
             scgi: ([127, 0, 0, 1], 0).into(),
             log,
             control,
-            _dir: dir,
+            config,
+            dir,
         };
         program.http = program.listening("takes HTTP on ");
         program.scgi = program.listening("takes SCGI on ");
@@ -359,6 +404,15 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Puts another file in the place of the configuration and has it read.
+    pub fn reload(&self, changes: &[(String, String)]) {
+        let change = |config: String, (from, to): &(String, String)| config.replace(from, to);
+        let config = changes.iter().fold(self.config.clone(), change);
+        assert_ne!(config, self.config);
+        std::fs::write(self.dir.path("config.json"), config).unwrap();
+        self.signal("HUP");
+    }
+
     /// The exit status, once it has ended.
     pub fn end(&mut self) -> ExitStatus {
         let mut status = None;
