--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -19,7 +19,7 @@
 use crate::core::{Command, End, Input, Notice};
 
 /// Wait before a new link, doubled up to the second after each failure.
-const RELINK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+const RELINK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(250));
 /// An attempt to connect is given up after this long.
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 /// An agent that reads nothing for this long is taken to be gone: the link is made anew.
@@ -158,8 +158,14 @@
                         if let Some(address) = self.hub.links().agent.filter(|a| *a != link.address) {
                             match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
                                 Ok(conn) => return Some((conn, address, self.settle(link, out))),
-                                // The old link is closed in a moment, which starts anew at the new address.
-                                Err(e) => debug!("no link to the agent at {address} yet: {e}"),
+                                Err(e) => {
+                                    debug!("no link to the agent at {address} yet: {e}");
+                                    let again = self.again.clone();
+                                    spawn(move || {
+                                        may::coroutine::sleep(RELINK.1);
+                                        let _ = again.send(Order::Relink);
+                                    });
+                                }
                             }
                         }
                     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -87,6 +87,8 @@
     ports: Mutex<Ports>,
     next_conn: AtomicU64,
     most_connections: usize,
+    /// Calls below that may be out at once: each has a descriptor out of those kept back.
+    most_calls: usize,
     trim_us: AtomicU64,
     closed: AtomicBool,
     queries: Mutex<HashMap<u64, Sender<Lines>>>,
@@ -99,13 +101,15 @@
 type Lines = Vec<(String, String)>;
 
 impl Hub {
-    fn new(inbox: Sender<Input>, most_connections: usize, links: Links) -> Self {
+    fn new(inbox: Sender<Input>, sockets: usize, links: Links) -> Self {
+        let reserved = RESERVED_SOCKETS.min(sockets / 2);
         Self {
             inbox,
             waiting: AtomicUsize::new(0),
             ports: Mutex::default(),
             next_conn: AtomicU64::new(1),
-            most_connections,
+            most_connections: (sockets - reserved).max(1),
+            most_calls: (reserved / 2).max(1),
             trim_us: AtomicU64::new(u64::MAX),
             closed: AtomicBool::new(false),
             queries: Mutex::default(),
@@ -370,8 +374,7 @@
     pub fn start(config: &Config, certificate: Shared) -> Result<Self, String> {
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
-        let most = (config.sockets - RESERVED_SOCKETS.min(config.sockets / 2)).max(1);
-        let hub = Arc::new(Hub::new(sender, most, config.links()));
+        let hub = Arc::new(Hub::new(sender, config.sockets, config.links()));
         let classes = config.site.class_names.clone();
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
         let mut listeners = Vec::new();
--- a/src/net/vault.rs
+++ b/src/net/vault.rs
@@ -23,10 +23,8 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// A connection is taken over within this time. A vault that forgets idle ones resets them at the next call.
 const IDLE: Duration = Duration::from_millis(500);
-/// Connections that wait to be taken over.
-const MOST_IDLE: usize = 16;
-/// Calls at once, and so connections; far more than the module makes. They come out of what is kept back.
-const MOST_CALLS: usize = 64;
+/// Connections that wait to be taken over, at most and as a part of all calls that may be out.
+const MOST_IDLE: (usize, usize) = (16, 4);
 /// The longest reply.
 const MOST_REPLY: usize = 16 << 10;
 
@@ -86,7 +84,7 @@
         match order {
             Order::Ask { handle, attempt, once, patience, body } => {
                 let mut pool = lock(&self.pool);
-                let room = pool.out.len() < MOST_CALLS;
+                let room = pool.out.len() < self.hub.most_calls;
                 if room {
                     if let Some((_, Some(conn))) = pool.out.insert(handle, (attempt, None)) {
                         conn.shutdown(Shutdown::Both);
@@ -169,7 +167,8 @@
         pool.out.remove(&handle);
     }
     // A connection that brought more than its own reply, or none that can be read, is not used again.
-    if ended.is_ok() && lines.is_empty() && pool.epoch == epoch && pool.idle.len() < MOST_IDLE {
+    let room = pool.idle.len() < MOST_IDLE.0.min(hub.most_calls / MOST_IDLE.1);
+    if ended.is_ok() && lines.is_empty() && pool.epoch == epoch && room {
         pool.idle.push((conn, Instant::now()));
     } else {
         conn.shutdown(Shutdown::Both);
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -209,6 +209,37 @@
     assert!(control.recv(&mut [0; 64]).is_ok());
 }
 
+#[test]
+fn a_new_address_where_nobody_listens_yet_is_tried_again() {
+    // Guards against a link that stays at the old address because the new one came up a moment later.
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(with_agent(&agent));
+    let new = gone();
+    program.reload(&[moved(agent.address, new)]);
+    program.wait_for_log("the configuration was read again");
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"a").http()).body, b"made:a");
+    let _agent = agent.moved_to(new);
+    program.wait_for_log(&format!("linked to the agent at {new}"));
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"b").http()).body, b"made:b");
+    assert_eq!(program.counter("links_lost"), 0);
+}
+
+#[test]
+fn calls_at_once_are_bounded_by_the_descriptors_kept_for_them() {
+    // Guards against a connection a call eating up the descriptors of a small server.
+    let agent = Agent::start(2, QUICK, true);
+    let vault = Some(spoiling_vault());
+    let program = Program::start(Setup { sockets: Some(6), vault, ..with_agent(&agent) });
+    let mut first = connect(program.http);
+    first.write_all(&Ask::keyed("good", b"good").http()).unwrap();
+    wait_for("the call", || program.counter("calls_made") == 1);
+    let second = Ask { patience_ms: 800, ..Ask::keyed("bad", b"bad") };
+    assert_eq!(exchange(program.http, &second.http()).status, 500, "there is room for one call");
+    assert!(program.counter("call_refused") > 0);
+    assert_eq!(program.counter("call_malformed"), 0, "the second call was never made");
+    assert_eq!(read_answer(&mut first).status, 500);
+}
+
 #[test]
 fn a_bad_file_at_a_hangup_is_told_and_changes_nothing() {
     let agent = Agent::start(1, QUICK, false);
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -72,7 +72,11 @@
 
     /// The same agent at a new address; at the old one it goes on as well.
     pub fn moved(&self) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.moved_to(([127, 0, 0, 1], 0).into())
+    }
+
+    pub fn moved_to(&self, address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let agent = Self { address: listener.local_addr().unwrap(), ..self.clone() };
         let of_links = agent.clone();
         thread::spawn(move || {
