Open a door for operators: ready, drain, undrain

The logs show no crash and no lost request. At fault: no part of the program.

Design: a small listener of its own beside the reducer (net/admin.rs), with 16 places and the oldest evicted; a drain is one flag in the core that only health answers see. Not taken: calls on the callers' port, which a full table would keep operators from; and the drain of SIGTERM, which ends the process and turns late arrivals away.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -115,6 +115,8 @@
     link_up: bool,
     lost_at: Duration,
     healthy: bool,
+    /// Operators want callers kept away.
+    standby: bool,
     signal: Option<f64>,
     open: usize,
     drain: Option<Duration>,
@@ -146,6 +148,7 @@
             link_up: false,
             lost_at: Duration::ZERO,
             healthy: true,
+            standby: false,
             signal: None,
             open: 0,
             drain: None,
@@ -211,7 +214,8 @@
             // Deep or not, a check hears what the module set: it watches whether work gets done.
             Input::Check { conn, .. } => {
                 self.counters.checks += 1;
-                let verdict = if self.healthy { Verdict::Healthy } else { Verdict::Unhealthy };
+                let verdict =
+                    if self.healthy && !self.standby { Verdict::Healthy } else { Verdict::Unhealthy };
                 self.answer(conn, verdict);
             }
             Input::Rejected => self.counters.rejected += 1,
@@ -221,6 +225,12 @@
                 self.call_ended(now, handle, attempt, end, reply);
             }
             Input::Drain => self.drain(now),
+            Input::Standby(on) => {
+                if std::mem::replace(&mut self.standby, on) != on {
+                    let what = if on { "callers are kept away" } else { "callers are taken again" };
+                    self.effects.push(Effect::Log(format!("operators: {what}")));
+                }
+            }
             Input::Reload => self.effects.push(Effect::Relink),
             Input::Query { ticket, query } => {
                 let lines = match query {
@@ -319,6 +329,7 @@
         match notice {
             Notice::Greeting { cold, lasted } => {
                 self.link_up = true;
+                self.effects.push(Effect::Ready);
                 // The module's life begins with the agent's: it is told then how warm the machine is.
                 if !std::mem::replace(&mut self.greeted, true) && self.live.is_empty() && self.drain.is_none()
                 {
@@ -507,6 +518,7 @@
         let yes_no = |yes| if yes { "yes" } else { "no" }.to_string();
         let lines = [
             ("healthy", yes_no(self.healthy)),
+            ("kept_away", yes_no(self.standby)),
             ("leaving", yes_no(self.drain.is_some())),
             ("linked", yes_no(self.link_up)),
             ("unanswered", self.open.to_string()),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -99,6 +99,8 @@
     },
     /// The process is to leave.
     Drain,
+    /// Operators want callers kept away, or back again. What comes all the same is served as usual.
+    Standby(bool),
     /// The configuration was read again: the links may have new addresses.
     Reload,
     /// The counters are to be printed.
@@ -289,6 +291,8 @@
     Draining,
     /// Move the links to the addresses that the configuration names now.
     Relink,
+    /// The agent is up: requests can be served.
+    Ready,
     /// Take no new connections.
     StopListening,
     /// All is answered: end once the connections are closed.
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,151 @@
+//! The operators' door: HTTP/1.1 on an address of its own, one call a connection.
+//!
+//! It shares nothing with the callers' connections but the reducer's inbox, so that it answers whatever the load:
+//! it has few places of its own, and a client that sends nothing or half a call loses its place to the next.
+
+use std::collections::VecDeque;
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use may::net::TcpListener;
+use tracing::{info, warn};
+
+use super::front::{linger, read_some};
+use super::http::response;
+use super::stream::Conn;
+use super::{spawn, Hub, ACCEPT_PAUSE};
+use crate::core::Input;
+
+/// Clients at once. They take descriptors out of those kept back.
+const MOST_CLIENTS: usize = 16;
+/// A call must be there whole this long after its client connected.
+const READ_PATIENCE: Duration = Duration::from_secs(3);
+/// A client that reads nothing for this long has stopped reading.
+const WRITE_PATIENCE: Duration = Duration::from_secs(1);
+/// The longest call, head and body.
+const MOST_CALL: usize = 4096;
+/// Fields that a head may have.
+const MOST_FIELDS: usize = 32;
+
+/// What operators may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Can this process serve?
+    Ready,
+    /// Have health checks answered badly, so that callers go elsewhere.
+    Drain,
+    /// Take callers again.
+    Undrain,
+}
+
+/// Reads a call; none while it is not there whole. Its body says nothing, and is read so that the answer is not
+/// lost to a reset. What cannot be answered with a yes is the status of the no.
+pub fn parse(bytes: &[u8]) -> Result<Option<Call>, u16> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let head_len = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) if bytes.len() < MOST_CALL => return Ok(None),
+        Ok(_) => return Err(431),
+        Err(_) => return Err(400),
+    };
+    let length = head.headers.iter().find(|f| f.name.eq_ignore_ascii_case("content-length"));
+    let length =
+        length.map(|f| std::str::from_utf8(f.value).ok().and_then(|v| v.trim().parse::<usize>().ok()));
+    match length.unwrap_or(Some(0)) {
+        None => return Err(400),
+        Some(len) if len > MOST_CALL => return Err(413),
+        Some(len) if bytes.len() < head_len + len => return Ok(None),
+        Some(_) => {}
+    }
+    let path = head.path.unwrap_or("").split('?').next().unwrap_or("");
+    match (head.method.unwrap_or(""), path) {
+        ("GET", "/ready") => Ok(Some(Call::Ready)),
+        ("POST", "/drain") => Ok(Some(Call::Drain)),
+        ("POST", "/undrain") => Ok(Some(Call::Undrain)),
+        (_, "/ready" | "/drain" | "/undrain") => Err(405),
+        _ => Err(404),
+    }
+}
+
+/// The clients that are connected, the oldest first.
+type Clients = Arc<Mutex<VecDeque<(u64, Conn)>>>;
+
+fn lock(clients: &Clients) -> MutexGuard<'_, VecDeque<(u64, Conn)>> {
+    clients.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Listens for as long as the process lives.
+pub(super) fn start(address: SocketAddr, hub: &Arc<Hub>) -> io::Result<()> {
+    drop(std::net::TcpListener::bind(address)?);
+    let listener = TcpListener::bind(address)?;
+    info!("takes operators' calls on {}", listener.local_addr()?);
+    let hub = hub.clone();
+    spawn(move || {
+        let (clients, mut number) = (Clients::default(), 0);
+        loop {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    warn!("accept: {e}");
+                    may::coroutine::sleep(ACCEPT_PAUSE);
+                    continue;
+                }
+            };
+            let conn = Conn::new(stream, WRITE_PATIENCE);
+            number += 1;
+            {
+                let mut clients = lock(&clients);
+                clients.push_back((number, conn.clone()));
+                if clients.len() > MOST_CLIENTS {
+                    clients.pop_front().into_iter().for_each(|(_, oldest)| oldest.shutdown(Shutdown::Both));
+                }
+            }
+            let (hub, clients) = (hub.clone(), clients.clone());
+            spawn(move || {
+                serve(conn, &hub);
+                lock(&clients).retain(|(n, _)| *n != number);
+            });
+        }
+    });
+    Ok(())
+}
+
+fn serve(mut conn: Conn, hub: &Hub) {
+    let (mut bytes, since) = (Vec::new(), Instant::now());
+    let asked = loop {
+        match parse(&bytes) {
+            Ok(None) => {}
+            Ok(Some(call)) => break Ok(call),
+            Err(status) => break Err(status),
+        }
+        let left = READ_PATIENCE.saturating_sub(since.elapsed());
+        if left.is_zero() {
+            break Err(408);
+        }
+        conn.set_read_patience(left);
+        match read_some(&mut conn, &mut bytes) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if super::front::is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    };
+    let status = match asked {
+        Ok(Call::Ready) if hub.ready.load(Ordering::Acquire) && !hub.is_closed() => 200,
+        Ok(Call::Ready) => 503,
+        Ok(call) => {
+            // What is read behind this in the inbox, health checks among it, is answered as it asks.
+            hub.push(Input::Standby(call == Call::Drain));
+            200
+        }
+        Err(status) => status,
+    };
+    let body = if status == 200 { "yes\n" } else { "no\n" };
+    if conn.write_all(&response(status, "", body.as_bytes(), true)).is_ok() {
+        linger(&mut conn);
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -193,7 +193,7 @@
 }
 
 /// Closes towards the caller, and reads on for a moment.
-fn linger(stream: &mut impl Stream) {
+pub(super) fn linger(stream: &mut impl Stream) {
     stream.end();
     stream.conn().shutdown(Shutdown::Write);
     stream.conn().set_read_patience(LINGER.1);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -129,7 +129,7 @@
     }
 }
 
-fn response(status: u16, fields: &str, body: &[u8], close: bool) -> Vec<u8> {
+pub(super) fn response(status: u16, fields: &str, body: &[u8], close: bool) -> Vec<u8> {
     let close = if close { "Connection: close\r\n" } else { "" };
     let phrase = phrase(status);
     let head = format!("HTTP/1.1 {status} {phrase}\r\nContent-Length: {}\r\n{fields}{close}\r\n", body.len());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! Everything that happens goes through one inbox to the reducer's thread; each connection has a coroutine
 //! that reads and is its only writer, so a peer that stops reading holds up nobody else.
 
+pub mod admin;
 pub mod agent;
 pub mod control;
 pub mod fields;
@@ -91,6 +92,8 @@
     most_calls: usize,
     trim_us: AtomicU64,
     closed: AtomicBool,
+    /// The agent was up: requests can be served.
+    ready: AtomicBool,
     queries: Mutex<HashMap<u64, Sender<Lines>>>,
     next_query: AtomicU64,
     /// Where the links are to lead, since the configuration was last read.
@@ -112,6 +115,7 @@
             most_calls: (reserved / 2).max(1),
             trim_us: AtomicU64::new(u64::MAX),
             closed: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
             queries: Mutex::default(),
             next_query: AtomicU64::new(1),
             links: Mutex::new(links),
@@ -415,6 +419,12 @@
         if config.control.is_some() {
             control::start(&hub, config.listen.ip(), config.name.clone(), control.clone());
         }
+        if !matches!(runner, Runner::Agent(_)) {
+            hub.ready.store(true, Ordering::Release);
+        }
+        if let Some(address) = config.admin {
+            admin::start(address, &hub).map_err(|e| format!("admin: {address}: {e}"))?;
+        }
         Ok(Self { core, clock, hub, inbox, runner, below, control, listeners })
     }
 
@@ -497,6 +507,7 @@
                 self.hub.closed.store(true, Ordering::Relaxed);
                 self.listeners.iter().for_each(|at| stop_listening(*at));
             }
+            Effect::Ready => self.hub.ready.store(true, Ordering::Release),
             Effect::Leave => info!("all is answered"),
             Effect::Log(text) => info!("{text}"),
             Effect::Told { ticket, lines } => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -254,6 +254,8 @@
     pub listen: SocketAddr,
     /// The agent that runs the work; without one, the site's own application does.
     pub agent: Option<SocketAddr>,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     /// Where reports of being alive go.
     pub control: Option<SocketAddr>,
     /// Where calls below are made.
@@ -429,6 +431,7 @@
         let mut lines = vec![
             ("name", self.name.clone()),
             ("listen", self.listen.to_string()),
+            ("admin", address(self.admin)),
             ("agent", address(self.agent)),
             ("vault", address(self.vault)),
             ("control", address(self.control)),
@@ -467,6 +470,13 @@
                 .map_err(|_| ConfigError::new("RELAY_LISTEN", format!("cannot be read from '{text}'")))?,
             None => node.at("listen")?.some(parsed)?,
         };
+        let admin = match vars.get("RELAY_ADMIN") {
+            Some(text) => Some(
+                text.parse()
+                    .map_err(|_| ConfigError::new("RELAY_ADMIN", format!("cannot be read from '{text}'")))?,
+            ),
+            None => address("admin")?,
+        };
         let name = match vars.get("RELAY_NAME") {
             Some(name) => name.clone(),
             None => node.at("name")?.some(text)?,
@@ -497,6 +507,7 @@
         Ok(Self {
             name,
             listen,
+            admin,
             agent: address("agent")?,
             control: address("control")?,
             vault: address("vault")?,
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! The real program, spoken to over sockets as its callers, its agent and its vault do.
 
+mod admin;
 mod appliance;
 mod authority;
 mod scgi;
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -282,6 +282,7 @@
     child: Child,
     pub http: SocketAddr,
     pub scgi: SocketAddr,
+    pub admin: SocketAddr,
     log: Arc<Mutex<String>>,
     pub control: UdpSocket,
     config: String,
@@ -352,7 +353,7 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","control":"{}",{}{}"limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent),
             address("vault", setup.vault),
@@ -376,6 +377,7 @@
             child,
             http: ([127, 0, 0, 1], 0).into(),
             scgi: ([127, 0, 0, 1], 0).into(),
+            admin: ([127, 0, 0, 1], 0).into(),
             log,
             control,
             config,
@@ -383,6 +385,7 @@
         };
         program.http = program.listening("takes HTTP on ");
         program.scgi = program.listening("takes SCGI on ");
+        program.admin = program.listening("takes operators' calls on ");
         if setup.agent.is_some() {
             program.wait_for_log("linked to the agent");
         }
@@ -403,6 +406,11 @@
         wait_for(&format!("'{text}' in the log"), || self.log().contains(text));
     }
 
+    /// The status of an operator's call.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        exchange(self.admin, format!("{method} {path} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes()).status
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.unwrap().success());
