Take up other classes at a hangup, and turn down files that lack a key

Every request of the new class got a 404 until the end (core/mod.rs arrived; Input::Reload moved links only). Ruled out: the links (same addresses), the drain (rules kept, health as told).

Design: the reducer keeps a class at its place by name, new ones take a free place, and the module is told with Brain::retune, so that open requests, keys and what was learned stay. A dropped class is served for its deadline and 2 s. Not taken: a new module for each file, which would forget the running limit and every open request.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -133,6 +133,10 @@
 }
 
 impl RunLength {
+    fn guess(class: &Class) -> Self {
+        Self { mean_s: class.wanted.as_secs_f64() * GUESS_SHARE, hint_s: 0.0, refused_s: 0.0 }
+    }
+
     fn learn(&mut self, took: Duration, hint: Option<Duration>) {
         self.mean_s += LEARN_WEIGHT * (took.as_secs_f64() - self.mean_s);
         let Some(hint) = hint.map(|h| h.as_secs_f64()) else { return };
@@ -361,13 +365,8 @@
     /// A fresh instance; it knows only `settings`. No decision draws random numbers, so far.
     pub fn new(settings: Settings, _seed: u64, now: Duration) -> Result<Self, SettingsError> {
         settings.check()?;
-        let guess = |c: &Class| RunLength {
-            mean_s: c.wanted.as_secs_f64() * GUESS_SHARE,
-            hint_s: 0.0,
-            refused_s: 0.0,
-        };
         Ok(Self {
-            lengths: settings.classes.iter().map(guess).collect(),
+            lengths: settings.classes.iter().map(RunLength::guess).collect(),
             quota: vec![QUOTA_BURST / 2.0; settings.tenants.len()],
             limit: Limit { slots: f64::from(settings.cores), window_from: now, ..Limit::default() },
             started_at: now,
@@ -381,6 +380,23 @@
         })
     }
 
+    /// Other settings for the same life. A class keeps its place and what was learned of it; those in `fresh` are
+    /// new, also where a dropped one stood.
+    pub fn retune(&mut self, settings: Settings, fresh: &[usize]) {
+        self.lengths.truncate(settings.classes.len());
+        let known = self.lengths.len();
+        self.lengths.extend(settings.classes[known..].iter().map(RunLength::guess));
+        fresh.iter().for_each(|at| self.lengths[*at] = RunLength::guess(&settings.classes[*at]));
+        self.spans.retain(|(_, class), _| !fresh.contains(class));
+        self.quota.resize(settings.tenants.len(), QUOTA_BURST / 2.0);
+        self.s = Settings { cold: self.s.cold, ..settings };
+    }
+
+    /// The classes that the site has now.
+    fn classes(&self) -> impl Iterator<Item = (usize, &Class)> {
+        self.s.classes.iter().enumerate().filter(|(_, c)| !c.dropped)
+    }
+
     // ---- Events -------------------------------------------------------------------------------------
 
     /// Takes note of an event. Only what cannot wait for [`Brain::decide`] is acted on here.
@@ -446,7 +462,7 @@
             hint: a.hint,
             size: size as u64,
             run_extra: (size * (self.s.run_factor - 1.0).max(0.0)).ceil() as u64,
-            low: a.standing * (self.s.classes.len() as f64) < 1.0,
+            low: a.standing * (self.classes().count() as f64) < 1.0,
             background: false,
             repeats: a.repeats.is_some(),
             answered: false,
@@ -545,7 +561,9 @@
         if over {
             return (worth * self.s.over_share_worth, true);
         }
-        let tie = self.s.classes.iter().all(|c| c.worth == self.s.classes[0].worth);
+        let mut worths = self.classes().map(|(_, c)| c.worth);
+        let first = worths.next();
+        let tie = worths.all(|w| Some(w) == first);
         (worth, r.low && (self.quota.is_empty() || !tie))
     }
 
@@ -687,12 +705,12 @@
     }
 
     fn mean_length(&self) -> f64 {
-        let sum: f64 = self.lengths.iter().map(|l| l.mean_s).sum();
-        (sum / self.lengths.len() as f64).max(f64::EPSILON)
+        let sum: f64 = self.classes().map(|(at, _)| self.lengths[at].mean_s).sum();
+        (sum / self.classes().count() as f64).max(f64::EPSILON)
     }
 
     fn wait_goal(&self) -> f64 {
-        let least = self.s.classes.iter().map(|c| c.wanted).min().unwrap_or_default();
+        let least = self.classes().map(|(_, c)| c.wanted).min().unwrap_or_default();
         least.max(TICK).as_secs_f64() * WAIT_GOAL_SHARE
     }
 
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -44,7 +44,7 @@
 }
 
 /// A digest of what a key stands for.
-pub(super) fn digest(class: usize, body: &[u8]) -> u64 {
+pub(super) fn digest(class: &str, body: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
     (class, body).hash(&mut hasher);
     hasher.finish()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,7 +10,7 @@
 mod types;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +39,9 @@
 /// This long after its due time a run of an answered request is taken to be lost.
 const RUN_LOST: Duration = Duration::from_secs(60);
 
+/// Callers learn of other classes this much later; from then on no first try of a dropped one comes.
+const DROPPED_LATE: Duration = Duration::from_secs(2);
+
 /// Time that closing the connections may take, between the end of the grace and the kill.
 const CLOSE_TIME: Duration = Duration::from_millis(800);
 
@@ -114,6 +117,8 @@
     greeted: bool,
     link_up: bool,
     lost_at: Duration,
+    /// Classes that the site has no more, and until when requests of them are taken.
+    served_until: BTreeMap<usize, Duration>,
     healthy: bool,
     /// Operators want callers kept away.
     standby: bool,
@@ -147,6 +152,7 @@
             greeted: false,
             link_up: false,
             lost_at: Duration::ZERO,
+            served_until: BTreeMap::new(),
             healthy: true,
             standby: false,
             signal: None,
@@ -231,7 +237,7 @@
                     self.effects.push(Effect::Log(format!("operators: {what}")));
                 }
             }
-            Input::Reload => self.effects.push(Effect::Relink),
+            Input::Reload(site) => self.retune(now, *site),
             Input::Query { ticket, query } => {
                 let lines = match query {
                     Query::Status => self.status(),
@@ -252,7 +258,8 @@
     fn arrived(&mut self, now: Duration, request: Request) {
         self.counters.taken_in += 1;
         let class = self.site.class_names.iter().position(|name| *name == request.class);
-        let Some(class) = class else {
+        let is_gone = |at: &usize| self.served_until.get(at).is_some_and(|until| *until < now);
+        let Some(class) = class.filter(|at| !is_gone(at)) else {
             return self.turn_back(request.conn, Verdict::NoSuchClass);
         };
         let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
@@ -269,7 +276,7 @@
         let due = start + patience;
         let id = self.next_id;
         // One key stands for one request: the result of another one is nobody else's, and must not be served.
-        let what = keys::digest(class, &request.body);
+        let what = keys::digest(&request.class, &request.body);
         if key.as_ref().is_some_and(|k| self.keys.is_taken(k, what)) {
             self.counters.key_conflicts += 1;
             return self.turn_back(request.conn, Verdict::Invalid("this key stands for another request"));
@@ -320,6 +327,48 @@
         }));
     }
 
+    /// Other settings for the same life. A class is known by its name and keeps its place: open requests are of
+    /// it. One that is dropped is still served for as long as callers that learn late may bring tries of it.
+    fn retune(&mut self, now: Duration, new: Site) {
+        let before = std::mem::replace(&mut self.site, new);
+        let (names, classes) = (&mut self.site.class_names, &mut self.site.settings.classes);
+        let told: Vec<_> = names.drain(..).zip(classes.drain(..)).collect();
+        (*names, *classes) = (before.class_names, before.settings.classes);
+        for (at, class) in
+            classes.iter_mut().enumerate().filter(|(at, _)| !told.iter().any(|(name, _)| *name == names[*at]))
+        {
+            if !std::mem::replace(&mut class.dropped, true) {
+                self.served_until.insert(at, now + DROPPED_LATE + class.give_up);
+            }
+        }
+        let mut fresh = Vec::new();
+        for (name, class) in told {
+            if let Some(at) = names.iter().position(|n| *n == name) {
+                self.served_until.remove(&at);
+                classes[at] = class;
+                continue;
+            }
+            // The place of one that is gone for good serves again: names may come and go for ever.
+            let live = &self.live;
+            let is_free = |at: &usize| live.values().all(|l| l.class != *at);
+            let gone = self.served_until.iter().filter(|(_, until)| **until < now).map(|(at, _)| *at);
+            match gone.into_iter().find(is_free) {
+                Some(at) => {
+                    self.served_until.remove(&at);
+                    (names[at], classes[at]) = (name, class);
+                    fresh.push(at);
+                }
+                None => {
+                    fresh.push(names.len());
+                    names.push(name);
+                    classes.push(class);
+                }
+            }
+        }
+        self.brain.retune(self.site.settings.clone(), &fresh);
+        self.effects.push(Effect::Relink);
+    }
+
     fn turn_back(&mut self, conn: ConnId, verdict: Verdict) {
         self.counters.rejected += 1;
         self.answer(conn, verdict);
@@ -527,6 +576,7 @@
             ("at_call", in_phase(Phase::AtCall)),
             ("joined", in_phase(Phase::Joined)),
             ("keys", self.keys.len().to_string()),
+            ("classes", self.site.class_names.len().to_string()),
             ("timers", self.timers.len().to_string()),
             ("signal", self.signal.map_or("none".to_string(), |s| format!("{s:.4}"))),
         ];
@@ -661,7 +711,8 @@
         let command = match live.phase {
             Phase::Held => {
                 let patience = live.due.saturating_sub(now);
-                Command::Launch { handle, class: live.class, arg: live.body.clone(), patience }
+                let class = self.site.class_names[live.class].as_str().into();
+                Command::Launch { handle, class, arg: live.body.clone(), patience }
             }
             Phase::Paused => Command::Thaw { handle },
             _ => return,
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::End;
+use crate::settings::Site;
 
 /// Bytes that are passed on unchanged.
 pub type Bytes = Arc<[u8]>;
@@ -101,8 +102,8 @@
     Drain,
     /// Operators want callers kept away, or back again. What comes all the same is served as usual.
     Standby(bool),
-    /// The configuration was read again: the links may have new addresses.
-    Reload,
+    /// The configuration was read again: there may be other classes, and the links may have new addresses.
+    Reload(Box<Site>),
     /// The counters are to be printed.
     Report,
     /// Somebody at the console asks.
@@ -180,8 +181,8 @@
     Launch {
         /// The request.
         handle: Handle,
-        /// Its class, as an index.
-        class: usize,
+        /// The name of its class.
+        class: Arc<str>,
         /// Its body.
         arg: Bytes,
         /// How long its caller still waits.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,6 +78,8 @@
     pub calls: bool,
     /// Part of the worth that is left when a call is skipped; 0 forbids skipping.
     pub skip_worth: f64,
+    /// The site no longer has this class; only requests that came before, or just behind, are of it.
+    pub dropped: bool,
 }
 
 /// One tenant.
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,15 +21,18 @@
     Ok(())
 }
 
-fn watch_signals(handle: Handle) -> Result<(), String> {
+fn watch_signals(handle: Handle, mut config: Config) -> Result<(), String> {
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => handle.report(),
-                SIGHUP => match Config::from_env() {
-                    Ok(config) => handle.reload(config.links()),
+                SIGHUP => match config.read_again() {
+                    Ok(new) => {
+                        handle.reload(&new);
+                        config = new;
+                    }
                     Err(e) => warn!("the configuration stays as it was: {e}"),
                 },
                 _ => handle.drain(),
@@ -45,7 +48,7 @@
     start_runtime();
     let certificate = acme::Shared::default();
     let node = Node::start(&config, certificate.clone())?;
-    watch_signals(node.handle())?;
+    watch_signals(node.handle(), config.clone())?;
     if let Some(acme) = config.appliance.acme.clone() {
         acme::start(acme, certificate.clone())?;
     }
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -49,10 +49,10 @@
 
 impl Link {
     /// Connects, and keeps at it.
-    pub(super) fn start(classes: Vec<String>, hub: &Arc<Hub>) -> Self {
+    pub(super) fn start(hub: &Arc<Hub>) -> Self {
         let (orders, received) = channel();
         let (hub, again) = (hub.clone(), orders.clone());
-        let keeper = Keeper { classes, hub, again, orders: received, cursor: Arc::default() };
+        let keeper = Keeper { hub, again, orders: received, cursor: Arc::default() };
         spawn(move || keeper.keep_linked());
         Self { orders }
     }
@@ -78,7 +78,6 @@
 }
 
 struct Keeper {
-    classes: Vec<String>,
     hub: Arc<Hub>,
     again: Sender<Order>,
     orders: Receiver<Order>,
@@ -149,7 +148,7 @@
             let mut order = self.orders.recv().ok()?;
             loop {
                 match order {
-                    Order::Command(command) => encode(&command, &self.classes, &mut out),
+                    Order::Command(command) => encode(&command, &mut out),
                     Order::Broken(which) if which == link.number => {
                         link.conn.shutdown(Shutdown::Both);
                         return None;
@@ -193,7 +192,7 @@
                 link.conn.shutdown(Shutdown::Both);
             }
             match self.orders.recv_timeout(if ended { WRITE_PATIENCE } else { left }) {
-                Ok(Order::Command(command)) => encode(&command, &self.classes, &mut backlog),
+                Ok(Order::Command(command)) => encode(&command, &mut backlog),
                 Ok(Order::Settled(which)) if which == link.number => {
                     ended = true;
                     link.settled.store(true, Ordering::Release);
@@ -241,10 +240,10 @@
 }
 
 /// Appends a command as a line.
-pub fn encode(command: &Command, classes: &[String], out: &mut String) {
+pub fn encode(command: &Command, out: &mut String) {
     let line = match command {
         Command::Launch { handle, class, arg, .. } => {
-            let entry = JsonValue::String(classes.get(*class).cloned().unwrap_or_default());
+            let entry = JsonValue::String(class.to_string());
             let entry = entry.stringify().unwrap_or_default();
             let arg = BASE64.encode(arg);
             format!(r#"{{"event":"launch","handle":"{handle}","entry":{entry},"arg":"{arg}"}}"#)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -318,8 +318,10 @@
         self.0.push(Input::Drain);
     }
 
-    /// Moves the links to new addresses. A link that was on stays on: the program cannot do without.
-    pub fn reload(&self, links: Links) {
+    /// Takes up other settings, and moves the links to new addresses. A link that was on stays on: the program
+    /// cannot do without.
+    pub fn reload(&self, config: &Config) {
+        let links = config.links();
         let mut held = self.0.links.lock().unwrap_or_else(PoisonError::into_inner);
         let or = |new: Option<SocketAddr>, old: Option<SocketAddr>| new.filter(|_| old.is_some()).or(old);
         *held = Links {
@@ -328,7 +330,7 @@
             control: or(links.control, held.control),
         };
         drop(held);
-        self.0.push(Input::Reload);
+        self.0.push(Input::Reload(Box::new(config.site.clone())));
     }
 
     /// Asks the reducer, and waits for its answer; to be called from threads only.
@@ -379,7 +381,6 @@
         let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
         let hub = Arc::new(Hub::new(sender, config.sockets, config.links()));
-        let classes = config.site.class_names.clone();
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
         let mut listeners = Vec::new();
         let mut bound = |key: &str, front: &str, address: SocketAddr, bound: io::Result<SocketAddr>| {
@@ -407,8 +408,8 @@
             bound("tls.listen", "HTTPS", address, listen(address, &hub, secure))?;
         }
         let runner = match (config.agent, config.appliance.scgi_application) {
-            (Some(_), _) => Runner::Agent(agent::Link::start(classes, &hub)),
-            (None, Some(address)) => Runner::Application(scgi::Application::new(address, classes, &hub)),
+            (Some(_), _) => Runner::Agent(agent::Link::start(&hub)),
+            (None, Some(address)) => Runner::Application(scgi::Application::new(address, &hub)),
             (None, None) => Runner::None,
         };
         let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
--- a/src/net/scgi.rs
+++ b/src/net/scgi.rs
@@ -223,20 +223,19 @@
 /// The site's own application, which does the work where there is no agent.
 pub struct Application {
     address: SocketAddr,
-    classes: Vec<String>,
     hub: Arc<Hub>,
 }
 
 impl Application {
     /// Nothing is connected until there is work.
-    pub fn new(address: SocketAddr, classes: Vec<String>, hub: &Arc<Hub>) -> Self {
-        Self { address, classes, hub: hub.clone() }
+    pub fn new(address: SocketAddr, hub: &Arc<Hub>) -> Self {
+        Self { address, hub: hub.clone() }
     }
 
     /// Carries out a command; an application knows only launches.
     pub fn send(&self, command: Command) {
         let Command::Launch { handle, class, arg, patience } = command else { return };
-        let path = format!("/do/{}", self.classes.get(class).map_or("", String::as_str));
+        let path = format!("/do/{class}");
         let (address, hub) = (self.address, self.hub.clone());
         spawn(move || {
             let began = Instant::now();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,9 @@
 
 use crate::interface::{Below, Class, Preemption, Repeat, Settings, Signal, Tenant};
 
+/// Keys that may come and go between two readings of the file.
+const OPTIONAL: [&str; 2] = ["aim_stretch", "fleet"];
+
 /// What is wrong with a configuration, and at which key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError {
@@ -75,6 +78,28 @@
         }
     }
 
+    /// Tells which key is missing beside an older document, in lists beside their first item.
+    fn has_all_of(&self, old: &JsonValue) -> Result<(), ConfigError> {
+        match old {
+            JsonValue::Object(members) => {
+                for (key, old) in members.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str())) {
+                    let node = self.at(key)?;
+                    if node.value.is_none() && !old.is_null() {
+                        return node.bad("is missing");
+                    }
+                    node.has_all_of(old)?;
+                }
+            }
+            JsonValue::Array(items) => {
+                for (item, old) in self.items()?.iter().zip(std::iter::repeat(items.first())) {
+                    old.map_or(Ok(()), |old| item.has_all_of(old))?;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
     fn some<T>(self, read: impl Fn(&Self, &JsonValue) -> Result<T, ConfigError>) -> Result<T, ConfigError> {
         match self.value {
             Some(v) => read(&self, v),
@@ -175,6 +200,7 @@
                 worth: p.at("worth")?.some(number)?,
                 late_value: p.at("late_value")?.or(0.0, number)?,
                 calls: calls.get(at).and_then(|n| n.value.map(|v| flag(n, v))).unwrap_or(Ok(false))?,
+                dropped: false,
                 skip_worth: worth.get(at).and_then(|n| n.value.map(|v| number(n, v))).unwrap_or(Ok(0.0))?,
             });
         }
@@ -270,6 +296,8 @@
     pub site: Site,
     /// The fronts and the appliance beside the platform's port.
     pub appliance: Appliance,
+    /// The file as it was read.
+    told: JsonValue,
 }
 
 /// The part of a configuration that a running program takes up anew.
@@ -418,6 +446,14 @@
         Ok(config)
     }
 
+    /// Reads the environment and its files again, for a program that runs with this configuration. A file that
+    /// lacks what the one before had was most likely cut short or written by mistake, and is turned down whole.
+    pub fn read_again(&self) -> Result<Self, ConfigError> {
+        let new = Self::from_env()?;
+        Node::root(&new.told).has_all_of(&self.told)?;
+        Ok(new)
+    }
+
     /// Where the links lead.
     pub fn links(&self) -> Links {
         Links { agent: self.agent, vault: self.vault, control: self.control }
@@ -503,6 +539,12 @@
                 let key = format!("settings.profiles[{at}].name");
                 return Err(ConfigError::new(key, "is missing or stands twice"));
             }
+            let times = &site.settings.classes[at];
+            for (key, time) in [("promise_us", times.wanted), ("give_up_us", times.give_up)] {
+                if time.is_zero() {
+                    return Err(ConfigError::new(format!("settings.profiles[{at}].{key}"), "is not above 0"));
+                }
+            }
         }
         Ok(Self {
             name,
@@ -516,6 +558,7 @@
             sockets,
             site,
             appliance: Appliance::default(),
+            told: json,
         })
     }
 }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -146,8 +146,8 @@
     let mut out = String::new();
     let arg = Arc::from(*b"\xff\0");
     let patience = Duration::ZERO;
-    agent::encode(&Command::Launch { handle, class: 1, arg, patience }, &["a".into(), "b".into()], &mut out);
-    agent::encode(&Command::Forgo { handle, cursor: 9 }, &[], &mut out);
+    agent::encode(&Command::Launch { handle, class: "b".into(), arg, patience }, &mut out);
+    agent::encode(&Command::Forgo { handle, cursor: 9 }, &mut out);
     let launch = r#"{"event":"launch","handle":"9b1f03aa5c7e2d41","entry":"b","arg":"/wA="}"#;
     assert_eq!(
         out,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,7 @@
         late_value: 0.0,
         calls: true,
         skip_worth: 0.0,
+        dropped: false,
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -104,8 +104,12 @@
 fn a_request_is_run_and_its_result_goes_back_unchanged() {
     let mut bench = Bench::new();
     let handle = bench.send(10, "queue-status", None);
-    let launch =
-        Command::Launch { handle, class: 0, arg: Arc::from(*b"body"), patience: Duration::from_millis(1500) };
+    let launch = Command::Launch {
+        handle,
+        class: "queue-status".into(),
+        arg: Arc::from(*b"body"),
+        patience: Duration::from_millis(1500),
+    };
     assert!(bench.done.contains(&Effect::Agent(launch)), "{:?}", bench.done);
     bench.complete(50, handle, b"\0made");
     assert_eq!(bench.answers(1), [&served(b"\0made")]);
@@ -482,3 +486,32 @@
         }
     }
 }
+
+#[test]
+fn a_dropped_class_is_served_for_late_callers_and_its_place_serves_again() {
+    // Guards against classes mixed up by a new order of the file, and a table of classes that grows for ever.
+    let named = |name: &str| Box::new(Site::parse(&SITE.replace("queue-prefs", name)).unwrap());
+    let mut bench = Bench::new();
+    bench.step(1, [Input::Reload(named("one"))]);
+    for (at, class, known) in [(5, "one", true), (6, "queue-prefs", true), (6600, "queue-prefs", false)] {
+        bench.pass(at);
+        let sent = bench.send(at, class, None);
+        let begun = bench.launches();
+        bench.complete(at + 1, sent, b"r");
+        let last = bench.conns;
+        let expected = if known { served(b"r") } else { Verdict::NoSuchClass };
+        assert_eq!(bench.answers(last), [&expected], "{class} at {at}, {begun} begun");
+    }
+    for n in 0..40 {
+        bench.step(6700 + n * 7000, [Input::Reload(named(&format!("new-{n}")))]);
+    }
+    let sent = bench.send(290_000, "new-39", None);
+    bench.complete(290_001, sent, b"r");
+    assert_eq!(bench.answers(bench.conns), [&served(b"r")]);
+    let Some(Effect::Told { lines, .. }) =
+        bench.step(290_002, [Input::Query { ticket: 1, query: Query::Status }]).pop()
+    else {
+        panic!("no answer")
+    };
+    assert!(lines.contains(&("classes".to_string(), "4".to_string())), "{lines:?}");
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -241,12 +241,28 @@
     assert_eq!(read_answer(&mut first).status, 500);
 }
 
-#[test]
-fn a_bad_file_at_a_hangup_is_told_and_changes_nothing() {
+#[rstest]
+#[case(r#""cores": 6"#, r#""cores": 0"#, "settings: the settings name no cores")]
+#[case(r#""seed":"1f","#, "", "seed: is missing")]
+#[case(r#", "worth": 1.0}"#, "}", "settings.profiles[0].worth: is missing")]
+#[case(r#""memory_span_us": 13356000, "#, "", "settings.profiles[2].memory_span_us: is missing")]
+#[case(r#""give_up_us": 4500000"#, r#""give_up_us": 0"#, "settings.profiles[0].give_up_us: is not above 0")]
+#[case(
+    r#""promise_us": 1800000"#,
+    r#""promise_us": "soon""#,
+    "settings.profiles[0].promise_us: is no number"
+)]
+fn a_bad_file_at_a_hangup_is_told_and_changes_nothing(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] says: &str,
+) {
+    // Guards against half of a spoilt file being taken up: classes renamed, links moved to nowhere.
     let agent = Agent::start(1, QUICK, false);
     let program = Program::start(with_agent(&agent));
-    program.reload(&[("\"cores\": 6".to_string(), "\"cores\": 0".to_string())]);
-    program.wait_for_log("the configuration stays as it was: settings: the settings name no cores");
+    let renamed = ("queue-status".to_string(), "queue-status-x".to_string());
+    program.reload(&[(from.to_string(), to.to_string()), renamed, moved(agent.address, gone())]);
+    program.wait_for_log(&format!("the configuration stays as it was: {says}"));
     assert_eq!(exchange(program.http, &Ask::new("queue-status", b"ok").http()).body, b"made:ok");
 }
 
@@ -283,6 +299,27 @@
     assert!(since.elapsed() < Duration::from_secs(2), "before it would be closed in any case");
 }
 
+#[test]
+fn at_a_hangup_classes_come_and_go_and_open_requests_keep_theirs() {
+    let agent = Agent::start(1, Duration::from_millis(200), false);
+    let program = Program::start(with_agent(&agent));
+    let mut open = connect(program.http);
+    open.write_all(&Ask::keyed("k", b"o").http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 1);
+    assert_eq!(exchange(program.http, &Ask::new("lobby-confirm-next", b"").http()).status, 404);
+    // The new class takes the first place in the file.
+    let prefs = r#"{"name": "queue-prefs","#;
+    let next = r#"{"name": "lobby-confirm-next", "give_up_us": 4500000, "promise_us": 1800000, "memory_span_us": 13356000, "repeat": "deduplicated", "worth": 10.0}, "#;
+    program.reload(&[(prefs.to_string(), next.to_string() + prefs)]);
+    program.wait_for_log("the configuration was read again");
+    assert_eq!(read_answer(&mut open).body, b"made:o");
+    let ask = Ask { class: "lobby-confirm-next", ..Ask::keyed("n", b"n") };
+    assert_eq!(exchange(program.http, &ask.http()).body, b"made:n");
+    assert_eq!(exchange(program.http, &Ask::keyed("k", b"o").http()).body, b"made:o");
+    let entries: Vec<_> = agent.launches().into_iter().map(|(_, entry, _)| entry).collect();
+    assert_eq!(entries, ["lobby-confirm", "lobby-confirm-next"]);
+}
+
 #[test]
 fn a_second_program_does_not_share_the_address() {
     let agent = Agent::start(1, QUICK, false);
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -353,7 +353,7 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent),
             address("vault", setup.vault),
