--- a/src/console.rs
+++ b/src/console.rs
@@ -29,16 +29,18 @@
 /// Tells what state the certificate is in.
 pub type CertificateState = Arc<dyn Fn() -> Vec<(String, String)> + Send + Sync>;
 
-/// Listens on `path` in a thread of its own. A socket left behind by a former life is taken over.
+/// Listens on `path` in a thread of its own. A socket left behind by a former life is taken over, and that of
+/// the process that this one takes over from.
 pub fn start(
     path: &Path,
     config: &Config,
     handle: Handle,
     certificate: CertificateState,
+    takes_over: bool,
 ) -> Result<(), String> {
     let at = |e: io::Error| format!("console.socket: {}: {e}", path.display());
     if std::fs::symlink_metadata(path).is_ok_and(|meta| meta.file_type().is_socket()) {
-        if UnixStream::connect(path).is_ok() {
+        if !takes_over && UnixStream::connect(path).is_ok() {
             return Err(format!("console.socket: {}: another program listens there", path.display()));
         }
         std::fs::remove_file(path).map_err(at)?;
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -1,10 +1,11 @@
 //! The table of keys: which try of a keyed request stands for it, which one ran, and what came of it.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use super::types::{Bytes, Key};
+use ring::digest::{Context, SHA256};
+
+use super::types::{Bytes, Key, KeyState};
 use crate::interface::RequestId;
 
 /// Keys remembered at most; beyond that, requests with new keys are turned away.
@@ -45,9 +46,10 @@
 
 /// A digest of what a key stands for.
 pub(super) fn digest(class: &str, body: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (class, body).hash(&mut hasher);
-    hasher.finish()
+    // The same in every version of the program: a process compares with what the one before it noted.
+    let mut digest = Context::new(&SHA256);
+    [class.as_bytes(), &[0], body].iter().for_each(|part| digest.update(part));
+    digest.finish().as_ref()[..8].iter().fold(0, |all, byte| all << 8 | u64::from(*byte))
 }
 
 /// All remembered keys.
@@ -144,6 +146,29 @@
         }
     }
 
+    /// Tries of it are still here.
+    pub(super) fn is_open(&self, key: &Key) -> bool {
+        self.entries.get(key).is_some_and(|e| !e.tries.is_empty())
+    }
+
+    /// All keys of which another try may come, for the process that takes over.
+    pub(super) fn all(&self) -> Vec<KeyState> {
+        let state = |(key, e): (&Key, &Entry)| {
+            let until = e.ran.iter().map(|r| r.until).chain(e.tries.iter().map(|t| t.until)).max()?;
+            let result = e.ran.as_ref().and_then(|r| r.result.clone());
+            Some(KeyState { key: key.clone(), what: e.what, until, open: !e.tries.is_empty(), result })
+        };
+        self.entries.iter().filter_map(state).collect()
+    }
+
+    /// Takes a key over; `id` stands for the run in the other process, until it is known that there was none.
+    pub(super) fn inherit(&mut self, state: KeyState, id: RequestId) {
+        let KeyState { key, what, until, result, .. } = state;
+        let ran = Some(Ran { id, until, result: None });
+        self.entries.insert(key.clone(), Entry { what, ran, ..Entry::default() });
+        self.ended(&key, id, result);
+    }
+
     pub(super) fn ran(&self, key: &Key) -> Option<RequestId> {
         self.entries.get(key)?.ran.as_ref().map(|r| r.id)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod end;
 mod keys;
+mod succession;
 mod types;
 
 use std::cmp::Reverse;
@@ -59,6 +60,7 @@
     RunLost(RequestId),
     Sweep,
     DrainGrace,
+    PassedOn(ConnId),
 }
 
 /// Where a request is.
@@ -119,6 +121,7 @@
     lost_at: Duration,
     /// Classes that the site has no more, and until when requests of them are taken.
     served_until: BTreeMap<usize, Duration>,
+    partner: succession::Partner,
     healthy: bool,
     /// Operators want callers kept away.
     standby: bool,
@@ -153,6 +156,7 @@
             link_up: false,
             lost_at: Duration::ZERO,
             served_until: BTreeMap::new(),
+            partner: succession::Partner::default(),
             healthy: true,
             standby: false,
             signal: None,
@@ -220,8 +224,9 @@
             // Deep or not, a check hears what the module set: it watches whether work gets done.
             Input::Check { conn, .. } => {
                 self.counters.checks += 1;
-                let verdict =
-                    if self.healthy && !self.standby { Verdict::Healthy } else { Verdict::Unhealthy };
+                // While another process serves on, callers are to hear of that one.
+                let good = (self.healthy || self.partner.yields) && !self.standby;
+                let verdict = if good { Verdict::Healthy } else { Verdict::Unhealthy };
                 self.answer(conn, verdict);
             }
             Input::Rejected => self.counters.rejected += 1,
@@ -231,6 +236,7 @@
                 self.call_ended(now, handle, attempt, end, reply);
             }
             Input::Drain => self.drain(now),
+            Input::Succession(word) => self.succession(now, word),
             Input::Standby(on) => {
                 if std::mem::replace(&mut self.standby, on) != on {
                     let what = if on { "callers are kept away" } else { "callers are taken again" };
@@ -259,7 +265,12 @@
         self.counters.taken_in += 1;
         let class = self.site.class_names.iter().position(|name| *name == request.class);
         let is_gone = |at: &usize| self.served_until.get(at).is_some_and(|until| *until < now);
-        let Some(class) = class.filter(|at| !is_gone(at)) else {
+        let class = class.filter(|at| !is_gone(at));
+        let open_here = self.handles.contains_key(&request.handle);
+        if self.partner.yields && !open_here {
+            return self.pass_on(now, request);
+        }
+        let Some(class) = class else {
             return self.turn_back(request.conn, Verdict::NoSuchClass);
         };
         let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
@@ -267,26 +278,27 @@
             return self.turn_back(request.conn, Verdict::Invalid("a request of this class needs a key"));
         }
         // A handle names one run at the agent: taking it twice could hand one request the other's result.
-        if self.handles.contains_key(&request.handle) {
+        if open_here {
             return self.turn_back(request.conn, Verdict::Invalid("this request id is in use"));
         }
         let key = request.key.filter(|_| keyed);
         let start = request.start.min(now);
         let patience = request.patience.unwrap_or(self.site.settings.classes[class].give_up);
         let due = start + patience;
-        let id = self.next_id;
         // One key stands for one request: the result of another one is nobody else's, and must not be served.
         let what = keys::digest(&request.class, &request.body);
         if key.as_ref().is_some_and(|k| self.keys.is_taken(k, what)) {
             self.counters.key_conflicts += 1;
             return self.turn_back(request.conn, Verdict::Invalid("this key stands for another request"));
         }
-        if key.as_ref().is_some_and(|k| !self.keys.has_room_for(k)) {
+        if key.as_ref().is_some_and(|k| !self.keys.has_room_for(k))
+            || self.is_barred(now, class, key.as_ref())
+        {
             self.counters.refused += 1;
             let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
             return self.answer(request.conn, refusal);
         }
-        self.next_id = self.next_id.wrapping_add(1).max(1);
+        let id = self.new_id();
         let window = self.site.settings.classes[class].window;
         let repeats = key.as_ref().and_then(|k| self.keys.arrived(k, id, what, start, window));
         self.counters.repeats += u64::from(repeats.is_some());
@@ -369,6 +381,12 @@
         self.effects.push(Effect::Relink);
     }
 
+    fn new_id(&mut self) -> RequestId {
+        let id = self.next_id;
+        self.next_id = id.wrapping_add(1).max(1);
+        id
+    }
+
     fn turn_back(&mut self, conn: ConnId, verdict: Verdict) {
         self.counters.rejected += 1;
         self.answer(conn, verdict);
@@ -527,6 +545,8 @@
         self.handles.remove(&live.handle);
         if let Some(key) = &live.key {
             self.keys.left(key, id);
+            let key = key.clone();
+            self.settle_key(&key);
         }
         for waiter in live.waiters {
             self.end_join(now, waiter, result.clone());
@@ -587,6 +607,13 @@
         if self.drain.replace(now).is_some() {
             return;
         }
+        if self.partner.yields {
+            // No notice to leave the fleet: another process serves on. What is here ends, the rest is passed on.
+            self.grace_over = true;
+            self.arm(now + self.stop_after.saturating_sub(CLOSE_TIME), Timer::DrainGrace);
+            self.effects.push(Effect::Yield);
+            return self.events.push_back(Event::Retire { stop_at: now + self.stop_after });
+        }
         let grace = self.site.settings.drain_grace.min(self.stop_after.saturating_sub(CLOSE_TIME));
         self.arm(now + grace, Timer::DrainGrace);
         self.effects.push(Effect::Draining);
@@ -647,13 +674,15 @@
             Timer::Sweep => {
                 self.keys.sweep(now);
                 // Requests that state a long wait and are answered at once leave their timers behind.
-                let live = &self.live;
+                let (live, partner) = (&self.live, &self.partner);
                 self.timers.retain(|Reverse((_, timer))| match timer {
                     Timer::Due(id) | Timer::RunLost(id) | Timer::CallLate(id, _) => live.contains_key(id),
+                    Timer::PassedOn(conn) => partner.passed_on.contains(conn),
                     _ => true,
                 });
                 self.arm(now + SWEEP, Timer::Sweep);
             }
+            Timer::PassedOn(conn) => self.overdue_there(conn),
             Timer::DrainGrace => {
                 self.grace_over = true;
                 self.effects.push(Effect::StopListening);
@@ -742,6 +771,11 @@
     }
 
     fn refuse(&mut self, now: Duration, id: RequestId, retry_after: Duration, no_retry: bool) {
+        // Advice to stay away would keep callers from the process that serves on.
+        let (retry_after, no_retry) = match self.partner.yields {
+            true => (Duration::ZERO, false),
+            false => (retry_after, no_retry),
+        };
         let Some(live) = self.live.get(&id) else { return };
         match live.phase {
             Phase::Held | Phase::Joined => {
@@ -808,6 +842,9 @@
             if let Some(other) = self.live.get_mut(&target) {
                 return other.waiters.push(id);
             }
+            if self.wait_for_partner(target, id) {
+                return;
+            }
         }
         let result = key.as_ref().and_then(|k| self.keys.result(k));
         self.end_join(now, id, result);
@@ -828,7 +865,9 @@
     }
 
     fn answer(&mut self, conn: ConnId, verdict: Verdict) {
-        let answer = Answer { verdict, signal: self.signal, close: self.grace_over };
+        let yields = self.partner.yields;
+        let signal = self.signal.filter(|_| !yields);
+        let answer = Answer { verdict, signal, close: self.grace_over || yields };
         self.effects.push(Effect::Answer { conn, answer: Arc::new(answer) });
     }
 }
--- /dev/null
+++ b/src/core/succession.rs
@@ -0,0 +1,121 @@
+//! A new version takes over from the one that runs: two processes that callers take for one.
+//!
+//! From one step of the old process's reducer on, the new one decides everything. The old one hands it all keys in
+//! that step, passes on what still comes to it, and only ends what it had taken itself; each key that was open
+//! is settled as soon as its last try is over. So every key has one owner at any time, and no run needs a word of
+//! the other process before it begins.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::types::*;
+use super::{Core, Timer, OVERDUE};
+use crate::interface::{Repeat, RequestId};
+
+/// What a reducer knows of the other process.
+#[derive(Default)]
+pub(super) struct Partner {
+    /// Requests here that wait for a run of the old process, by the id that stands for it.
+    waits: HashMap<RequestId, Vec<RequestId>>,
+    /// A new process decides: what comes is passed on to it.
+    pub(super) yields: bool,
+    /// Connections whose request was passed on and not answered yet.
+    pub(super) passed_on: HashSet<ConnId>,
+    /// The new process went away: until then it may have run keys that nobody here knows of.
+    barred_until: Duration,
+}
+
+impl Core {
+    pub(super) fn succession(&mut self, now: Duration, word: Succession) {
+        match word {
+            Succession::Key(state) => {
+                let id = self.new_id();
+                if state.open {
+                    self.partner.waits.insert(id, Vec::new());
+                }
+                self.keys.inherit(state, id);
+            }
+            Succession::Complete => self.effects.push(Effect::Listen),
+            Succession::Settled { key, ran, result } => self.settled(now, &key, ran, result),
+            Succession::PredecessorGone => {
+                // What it had open has ended, nobody knows how: the keys stay taken.
+                let mut waiters: Vec<_> =
+                    self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
+                waiters.sort_unstable();
+                waiters.into_iter().for_each(|id| self.end_join(now, id, None));
+                self.effects.push(Effect::Alone);
+            }
+            Succession::Begin => {
+                self.partner.yields = true;
+                self.effects.push(Effect::HandOver(self.keys.all()));
+            }
+            Succession::Answered { conn, answer } => {
+                if self.partner.passed_on.remove(&conn) {
+                    self.open -= 1;
+                    let answer = Answer { close: true, ..answer };
+                    self.effects.push(Effect::Answer { conn, answer: answer.into() });
+                }
+            }
+            Succession::SuccessorGone => {
+                self.partner.yields = false;
+                let mut open: Vec<_> = self.partner.passed_on.drain().collect();
+                open.sort_unstable();
+                for conn in open {
+                    self.open -= 1;
+                    self.answer(conn, Verdict::Failed);
+                }
+                let windows = self.site.settings.classes.iter().map(|c| c.window);
+                self.partner.barred_until = now + windows.max().unwrap_or_default();
+                self.effects.push(Effect::Alone);
+            }
+        }
+    }
+
+    /// Passes a request on to the process that decides now.
+    pub(super) fn pass_on(&mut self, now: Duration, request: Request) {
+        let longest = self.site.settings.classes.iter().map(|c| c.give_up).max();
+        let due = request.start.min(now) + request.patience.or(longest).unwrap_or_default();
+        self.partner.passed_on.insert(request.conn);
+        self.open += 1;
+        self.arm(due.max(now) + OVERDUE, Timer::PassedOn(request.conn));
+        self.effects.push(Effect::Forward(Box::new(request)));
+    }
+
+    /// The other process did not answer in time: it may have run the request.
+    pub(super) fn overdue_there(&mut self, conn: ConnId) {
+        if self.partner.passed_on.remove(&conn) {
+            self.open -= 1;
+            self.counters.overdue += 1;
+            self.answer(conn, Verdict::Failed);
+        }
+    }
+
+    /// A request with a key must not be run while a process that went away may have run another try of it.
+    pub(super) fn is_barred(&self, now: Duration, class: usize, key: Option<&Key>) -> bool {
+        let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
+        keyed && now < self.partner.barred_until && key.is_none_or(|k| self.keys.ran(k).is_none())
+    }
+
+    /// Has a request wait for a run of the old process; false if that is not one.
+    pub(super) fn wait_for_partner(&mut self, run: RequestId, id: RequestId) -> bool {
+        self.partner.waits.get_mut(&run).map(|waiters| waiters.push(id)).is_some()
+    }
+
+    /// The last try of a key has left: the process that decides is told what came of it.
+    pub(super) fn settle_key(&mut self, key: &Key) {
+        if self.partner.yields && !self.keys.is_open(key) {
+            let (ran, result) = (self.keys.ran(key).is_some(), self.keys.result(key));
+            self.effects.push(Effect::Settled { key: key.clone(), ran, result });
+        }
+    }
+
+    fn settled(&mut self, now: Duration, key: &Key, ran: bool, result: Option<Bytes>) {
+        let Some(run) = self.keys.ran(key) else { return };
+        let Some(waiters) = self.partner.waits.remove(&run) else { return };
+        match ran {
+            true => self.keys.ended(key, run, result.clone()),
+            false => self.keys.never_ran(key, run),
+        }
+        waiters.into_iter().for_each(|id| self.end_join(now, id, result.clone()));
+    }
+}
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -43,7 +43,7 @@
 }
 
 /// A request as a front read it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Request {
     /// Where its answer goes.
     pub conn: ConnId,
@@ -100,6 +100,8 @@
     },
     /// The process is to leave.
     Drain,
+    /// A word of the process that this one takes over from, or that takes over from it.
+    Succession(Succession),
     /// Operators want callers kept away, or back again. What comes all the same is served as usual.
     Standby(bool),
     /// The configuration was read again: there may be other classes, and the links may have new addresses.
@@ -115,6 +117,52 @@
     },
 }
 
+/// A key, as a process hands it to the one that takes over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyState {
+    /// The key.
+    pub key: Key,
+    /// A digest of the request that it stands for.
+    pub what: u64,
+    /// Until then no other try of it may be run.
+    pub until: Duration,
+    /// Tries of it are still there, and one may have run or yet run.
+    pub open: bool,
+    /// What its run made.
+    pub result: Option<Bytes>,
+}
+
+/// What two processes tell each other while the newer one takes over.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Succession {
+    /// The new process is to decide from now on.
+    Begin,
+    /// It has answered what was passed on to it.
+    Answered {
+        /// Where the answer goes.
+        conn: ConnId,
+        /// What it is.
+        answer: Answer,
+    },
+    /// The new process is gone.
+    SuccessorGone,
+    /// A key that the old process handed over.
+    Key(KeyState),
+    /// All keys were handed over.
+    Complete,
+    /// The last try of an open key is over.
+    Settled {
+        /// The key.
+        key: Key,
+        /// It was run.
+        ran: bool,
+        /// With this result.
+        result: Option<Bytes>,
+    },
+    /// The old process is gone.
+    PredecessorGone,
+}
+
 /// What the console may ask the reducer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
@@ -294,6 +342,25 @@
     Relink,
     /// The agent is up: requests can be served.
     Ready,
+    /// Hand all keys to the process that takes over.
+    HandOver(Vec<KeyState>),
+    /// Pass a request on to it.
+    Forward(Box<Request>),
+    /// Tell it what came of a key.
+    Settled {
+        /// The key.
+        key: Key,
+        /// It was run.
+        ran: bool,
+        /// With this result.
+        result: Option<Bytes>,
+    },
+    /// The keys are there: take callers.
+    Listen,
+    /// There is no other process any more.
+    Alone,
+    /// Take no new connections, and let those that are open end: the other process serves on.
+    Yield,
     /// Take no new connections.
     StopListening,
     /// All is answered: end once the connections are closed.
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,9 +21,7 @@
     Ok(())
 }
 
-fn watch_signals(handle: Handle, mut config: Config) -> Result<(), String> {
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+fn watch_signals(mut signals: Signals, handle: Handle, mut config: Config) {
     std::thread::spawn(move || {
         for signal in signals.forever() {
             match signal {
@@ -39,25 +37,25 @@
             }
         }
     });
-    Ok(())
 }
 
 fn serve() -> Result<(), String> {
     start_log()?;
     let config = Config::from_env().map_err(|e| e.to_string())?;
+    // Before anything can be seen of this process: a signal that nobody waits for yet would end it.
+    let signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     start_runtime();
     let certificate = acme::Shared::default();
     let node = Node::start(&config, certificate.clone())?;
-    watch_signals(node.handle(), config.clone())?;
+    watch_signals(signals, node.handle(), config.clone());
     if let Some(acme) = config.appliance.acme.clone() {
         acme::start(acme, certificate.clone())?;
     }
     if let Some(path) = &config.appliance.console {
         let state = std::sync::Arc::new(move || certificate.describe());
-        console::start(path, &config, node.handle(), state)?;
+        console::start(path, &config, node.handle(), state, node.takes_over())?;
     }
-    node.run();
-    Ok(())
+    node.run()
 }
 
 fn console_client(words: &[String]) -> Result<(), String> {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -11,12 +11,12 @@
 use std::time::{Duration, Instant};
 
 use may::net::TcpListener;
-use tracing::{info, warn};
+use tracing::info;
 
 use super::front::{linger, read_some};
 use super::http::response;
 use super::stream::Conn;
-use super::{spawn, Hub, ACCEPT_PAUSE};
+use super::{next, spawn, Hub};
 use crate::core::Input;
 
 /// Clients at once. They take descriptors out of those kept back.
@@ -87,14 +87,7 @@
     spawn(move || {
         let (clients, mut number) = (Clients::default(), 0);
         loop {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    warn!("accept: {e}");
-                    may::coroutine::sleep(ACCEPT_PAUSE);
-                    continue;
-                }
-            };
+            let Some(stream) = next(&listener, &hub) else { return };
             let conn = Conn::new(stream, WRITE_PATIENCE);
             number += 1;
             {
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,305 @@
+//! The link between the process that runs and a new one that takes over: text lines on a Unix socket.
+//!
+//! It is there for seconds, and a peer that reads nothing must not hold up the reducer: so it has threads of its
+//! own, and a queue with a bound. Where that is not enough the link is cut, which both sides know how to bear.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, BufWriter, Read, Write};
+use std::net::Shutdown;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::Path;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use tracing::{info, warn};
+
+use super::Hub;
+use crate::core::{Answer, Bytes, ConnId, Input, Key, KeyState, Request, Succession, Verdict};
+
+/// Words that may wait for the other process.
+const QUEUE: usize = 4096;
+/// A process that reads nothing for this long is taken to hang.
+const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// The longest line: a result or a body, and a key.
+const MOST_LINE: u64 = 64 << 10;
+/// Stack of the link's threads: their buffers are on the heap.
+const STACK: usize = 128 << 10;
+
+/// Something to tell the other process.
+#[derive(Debug)]
+pub enum Word {
+    /// Decide from now on.
+    Begin,
+    /// All keys.
+    Keys(Vec<KeyState>),
+    /// What came of an open key.
+    Settled(Key, bool, Option<Bytes>),
+    /// A request that came to the old process.
+    Request(Box<Request>),
+    /// Its answer, for the connection there.
+    Answer(ConnId, Arc<Answer>),
+}
+
+/// The other process, as long as there is one.
+#[derive(Clone, Default)]
+pub(super) struct Partner(Arc<Mutex<Option<Link>>>);
+
+struct Link {
+    words: SyncSender<Word>,
+    stream: UnixStream,
+    writer: Option<JoinHandle<()>>,
+    /// Requests passed on to this process: the connection in the other one.
+    passed_on: HashMap<ConnId, ConnId>,
+}
+
+impl Partner {
+    fn lock(&self) -> MutexGuard<'_, Option<Link>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues a word; never waits.
+    pub(super) fn send(&self, word: Word) {
+        if let Some(link) = &*self.lock() {
+            if link.words.try_send(word).is_err() {
+                let _ = link.stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Answers a request that was passed on to this process; false if `conn` is none.
+    pub(super) fn answer(&self, conn: ConnId, answer: &Arc<Answer>) -> bool {
+        let there = self.lock().as_mut().and_then(|link| link.passed_on.remove(&conn));
+        there.into_iter().for_each(|there| self.send(Word::Answer(there, answer.clone())));
+        there.is_some()
+    }
+
+    /// Waits until all that was queued is written.
+    pub(super) fn finish(&self) {
+        let writer = self.lock().take().and_then(|link| {
+            drop(link.words);
+            link.writer
+        });
+        writer.map(JoinHandle::join);
+    }
+
+    fn open(&self, stream: UnixStream) -> io::Result<()> {
+        let (words, queue) = sync_channel(QUEUE);
+        stream.set_write_timeout(Some(WRITE_PATIENCE))?;
+        let writes = stream.try_clone()?;
+        let writer = thread::Builder::new().stack_size(STACK).spawn(move || write(&writes, &queue))?;
+        *self.lock() = Some(Link { words, stream, writer: Some(writer), passed_on: HashMap::new() });
+        Ok(())
+    }
+
+    /// Tells the reducer what the other process says, until it is gone.
+    fn listen(&self, stream: UnixStream, hub: &Hub, gone: Succession) {
+        let mut reads = BufReader::new(stream);
+        loop {
+            let mut line = String::new();
+            match reads.by_ref().take(MOST_LINE).read_line(&mut line) {
+                Ok(n) if n > 0 => {}
+                _ => break,
+            }
+            match parse(&line) {
+                Some(Heard::Word(word)) => hub.push(Input::Succession(word)),
+                Some(Heard::Request(mut request)) => {
+                    let conn = hub.new_conn();
+                    let there = std::mem::replace(&mut request.conn, conn);
+                    if let Some(link) = self.lock().as_mut() {
+                        link.passed_on.insert(conn, there);
+                    }
+                    hub.push(Input::Request(request));
+                }
+                None => {
+                    warn!("the other process says what cannot be read");
+                    break;
+                }
+            }
+        }
+        if let Some(link) = self.lock().take() {
+            let _ = link.stream.shutdown(Shutdown::Both);
+        }
+        hub.push(Input::Succession(gone));
+    }
+}
+
+fn write(stream: &UnixStream, queue: &Receiver<Word>) {
+    let mut writes = BufWriter::new(stream);
+    while let Ok(word) = queue.recv() {
+        let lines = word.lines();
+        if lines
+            .into_iter()
+            .try_for_each(|l| writes.write_all(l.as_bytes()))
+            .and_then(|()| writes.flush())
+            .is_err()
+        {
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
+
+/// Connects to the process that serves already, if there is one.
+pub(super) fn find(path: &Path, hub: &Arc<Hub>) -> Option<Partner> {
+    let stream = UnixStream::connect(path).ok()?;
+    let partner = Partner::default();
+    let started = stream.try_clone().and_then(|reads| {
+        partner.open(stream)?;
+        let (partner, hub) = (partner.clone(), hub.clone());
+        let listen = move || partner.listen(reads, &hub, Succession::PredecessorGone);
+        thread::Builder::new().stack_size(STACK).spawn(listen)
+    });
+    started.map_err(|e| warn!("no link to the process that runs: {e}")).ok()?;
+    info!("takes over from the process that runs");
+    Some(partner)
+}
+
+/// Waits for a process that takes over. A socket that another one left is replaced.
+pub(super) fn offer(path: &Path, hub: &Arc<Hub>) -> io::Result<Partner> {
+    let _ = std::fs::remove_file(path);
+    let listener = UnixListener::bind(path)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    let (partner, hub) = (Partner::default(), hub.clone());
+    let successor = partner.clone();
+    thread::Builder::new().stack_size(STACK).spawn(move || {
+        // One after the other: a second process finds nobody until the first is gone.
+        for stream in listener.incoming().flatten() {
+            match stream.try_clone().and_then(|reads| partner.open(stream).map(|()| reads)) {
+                Ok(reads) => partner.listen(reads, &hub, Succession::SuccessorGone),
+                Err(e) => warn!("no link to the process that takes over: {e}"),
+            }
+        }
+    })?;
+    Ok(successor)
+}
+
+fn base64(bytes: Option<&[u8]>) -> String {
+    bytes.map_or("-".to_string(), |bytes| format!("={}", BASE64.encode(bytes)))
+}
+
+impl Word {
+    /// In lines, each with its end.
+    pub fn lines(&self) -> Vec<String> {
+        let key = |key: &Key| base64(Some(key.as_bytes()));
+        match self {
+            Self::Begin => vec!["begin\n".to_string()],
+            Self::Keys(keys) => {
+                let line = |k: &KeyState| {
+                    let (until, open, result) =
+                        (k.until.as_micros(), u8::from(k.open), base64(k.result.as_deref()));
+                    format!("key {} {:x} {until} {open} {result}\n", key(&k.key), k.what)
+                };
+                keys.iter().map(line).chain(["complete\n".to_string()]).collect()
+            }
+            Self::Settled(k, ran, result) => {
+                vec![format!("settled {} {} {}\n", key(k), u8::from(*ran), base64(result.as_deref()))]
+            }
+            Self::Request(r) => {
+                let patience = r.patience.map_or("-".to_string(), |p| p.as_micros().to_string());
+                vec![format!(
+                    "request {} {} {} {} {patience} {} {} {} {} {} {}\n",
+                    r.conn,
+                    r.handle,
+                    base64(Some(r.class.as_bytes())),
+                    r.start.as_micros(),
+                    r.caller,
+                    r.size_kb,
+                    r.rank,
+                    base64(r.key.as_ref().map(|k| k.as_bytes())),
+                    u8::from(r.object),
+                    base64(Some(&r.body)),
+                )]
+            }
+            Self::Answer(conn, answer) => {
+                let signal = answer.signal.map_or("-".to_string(), |s| s.to_string());
+                let verdict = match &answer.verdict {
+                    Verdict::Served(result) => format!("served {}", base64(Some(result))),
+                    Verdict::Refused { retry_after, no_retry } => {
+                        format!("refused {} {}", retry_after.as_micros(), u8::from(*no_retry))
+                    }
+                    Verdict::Failed | Verdict::Healthy | Verdict::Unhealthy => "failed".to_string(),
+                    Verdict::NoSuchClass => "unknown".to_string(),
+                    Verdict::Invalid(_) => "invalid".to_string(),
+                };
+                vec![format!("answer {conn} {signal} {verdict}\n")]
+            }
+        }
+    }
+}
+
+/// What a line says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// Something for the reducer.
+    Word(Succession),
+    /// A request, with the connection in the other process.
+    Request(Box<Request>),
+}
+
+/// Reads a line; none if it makes no sense.
+pub fn parse(line: &str) -> Option<Heard> {
+    let bytes = |word: &str| -> Option<Option<Bytes>> {
+        match word.strip_prefix('=') {
+            Some(text) => Some(Some(BASE64.decode(text).ok()?.into())),
+            None => (word == "-").then_some(None),
+        }
+    };
+    let text = |word: &str| String::from_utf8(bytes(word)??.to_vec()).ok();
+    let time = |word: &str| word.parse().ok().map(Duration::from_micros);
+    let flag = |word: &str| match word {
+        "0" => Some(false),
+        "1" => Some(true),
+        _ => None,
+    };
+    let words: Vec<&str> = line.strip_suffix('\n')?.split(' ').collect();
+    let word = match words[..] {
+        ["begin"] => Succession::Begin,
+        ["complete"] => Succession::Complete,
+        ["key", key, what, until, open, result] => Succession::Key(KeyState {
+            key: text(key)?.into(),
+            what: u64::from_str_radix(what, 16).ok()?,
+            until: time(until)?,
+            open: flag(open)?,
+            result: bytes(result)?,
+        }),
+        ["settled", key, ran, result] => {
+            Succession::Settled { key: text(key)?.into(), ran: flag(ran)?, result: bytes(result)? }
+        }
+        ["answer", conn, signal, ref verdict @ ..] => {
+            let verdict = match *verdict {
+                ["served", result] => Verdict::Served(bytes(result)??),
+                ["refused", after, no_retry] => {
+                    Verdict::Refused { retry_after: time(after)?, no_retry: flag(no_retry)? }
+                }
+                ["failed"] => Verdict::Failed,
+                ["unknown"] => Verdict::NoSuchClass,
+                ["invalid"] => Verdict::Invalid("the request cannot be taken as it is"),
+                _ => return None,
+            };
+            let signal = if signal == "-" { None } else { Some(signal.parse().ok()?) };
+            Succession::Answered { conn: conn.parse().ok()?, answer: Answer { verdict, signal, close: true } }
+        }
+        ["request", conn, handle, class, start, patience, caller, size_kb, rank, key, object, body] => {
+            return Some(Heard::Request(Box::new(Request {
+                conn: conn.parse().ok()?,
+                handle: handle.parse().ok()?,
+                class: text(class)?,
+                start: time(start)?,
+                patience: if patience == "-" { None } else { Some(time(patience)?) },
+                caller: caller.parse().ok()?,
+                size_kb: size_kb.parse().ok()?,
+                rank: rank.parse().ok()?,
+                key: if key == "-" { None } else { Some(text(key)?.into()) },
+                object: flag(object)?,
+                body: bytes(body)??,
+            })))
+        }
+        _ => return None,
+    };
+    Some(Heard::Word(word))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod fields;
 pub mod front;
+pub mod handover;
 pub mod http;
 mod lines;
 pub mod scgi;
@@ -52,6 +53,8 @@
 const SEND_BUFFER: usize = 16 << 10;
 /// Wait after a failed accept, so that a full table of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A connection that is idle for so long ends once another process takes the new ones.
+const YIELD_IDLE: Duration = Duration::from_millis(300);
 /// While leaving, the connections are looked at this often.
 const LEAVE_LOOK: Duration = Duration::from_millis(5);
 
@@ -87,11 +90,14 @@
     waiting: AtomicUsize,
     ports: Mutex<Ports>,
     next_conn: AtomicU64,
-    most_connections: usize,
+    sockets: usize,
+    most_connections: AtomicUsize,
     /// Calls below that may be out at once: each has a descriptor out of those kept back.
-    most_calls: usize,
+    most_calls: AtomicUsize,
     trim_us: AtomicU64,
     closed: AtomicBool,
+    /// Another process takes the new connections; those that are here end as they fall idle.
+    yields: AtomicBool,
     /// The agent was up: requests can be served.
     ready: AtomicBool,
     queries: Mutex<HashMap<u64, Sender<Lines>>>,
@@ -105,21 +111,42 @@
 
 impl Hub {
     fn new(inbox: Sender<Input>, sockets: usize, links: Links) -> Self {
-        let reserved = RESERVED_SOCKETS.min(sockets / 2);
-        Self {
+        let hub = Self {
             inbox,
             waiting: AtomicUsize::new(0),
             ports: Mutex::default(),
             next_conn: AtomicU64::new(1),
-            most_connections: (sockets - reserved).max(1),
-            most_calls: (reserved / 2).max(1),
+            sockets,
+            most_connections: AtomicUsize::new(1),
+            most_calls: AtomicUsize::new(1),
             trim_us: AtomicU64::new(u64::MAX),
             closed: AtomicBool::new(false),
+            yields: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             queries: Mutex::default(),
             next_query: AtomicU64::new(1),
             links: Mutex::new(links),
-        }
+        };
+        hub.share(false);
+        hub
+    }
+
+    /// Sets how many descriptors there are: two processes of one server have them together.
+    fn share(&self, with_another: bool) {
+        let sockets = if with_another { self.sockets / 2 } else { self.sockets };
+        let reserved = RESERVED_SOCKETS.min(sockets / 2);
+        self.most_connections.store((sockets - reserved).max(1), Ordering::Relaxed);
+        self.most_calls.store((reserved / 2).max(1), Ordering::Relaxed);
+    }
+
+    /// Calls below that may be out at once.
+    fn most_calls(&self) -> usize {
+        self.most_calls.load(Ordering::Relaxed)
+    }
+
+    /// A number for a connection.
+    fn new_conn(&self) -> ConnId {
+        self.next_conn.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Brings an input to the reducer; called from coroutines, it waits while the inbox is full.
@@ -147,7 +174,7 @@
 
     /// A place for a new connection, and where its answers come; none if there is no room.
     fn open(self: &Arc<Self>, stream: &Conn) -> Option<Port> {
-        let conn = self.next_conn.fetch_add(1, Ordering::Relaxed);
+        let conn = self.new_conn();
         let (answer, answers) = co::channel();
         let accepted = Instant::now();
         let place = Place {
@@ -158,19 +185,17 @@
             evicted: false,
             since: accepted,
         };
-        self.ports().take_in(conn, place, self.most_connections).then(|| Port {
-            conn,
-            answers,
-            accepted,
-            hub: self.clone(),
-        })
+        let most = self.most_connections.load(Ordering::Relaxed);
+        self.ports().take_in(conn, place, most).then(|| Port { conn, answers, accepted, hub: self.clone() })
     }
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
     fn idle_limit(&self) -> Duration {
-        match self.is_closed() {
-            true => Duration::ZERO,
-            false => Duration::from_micros(self.trim_us.load(Ordering::Relaxed)),
+        let told = Duration::from_micros(self.trim_us.load(Ordering::Relaxed));
+        match (self.is_closed(), self.yields.load(Ordering::Relaxed)) {
+            (true, _) => Duration::ZERO,
+            (false, true) => told.min(YIELD_IDLE),
+            (false, false) => told,
         }
     }
 
@@ -265,16 +290,8 @@
 }
 
 /// Takes connections on a front until the server leaves.
-fn accept(listener: TcpListener, hub: &Arc<Hub>, serve: impl Fn(Conn, Port)) {
-    loop {
-        let stream = match listener.accept() {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                warn!("accept: {e}");
-                may::coroutine::sleep(ACCEPT_PAUSE);
-                continue;
-            }
-        };
+fn accept(listener: &TcpListener, hub: &Arc<Hub>, serve: impl Fn(Conn, Port)) {
+    while let Some(stream) = next(listener, hub) {
         if hub.is_closed() {
             return;
         }
@@ -287,20 +304,36 @@
     }
 }
 
-/// Binds a front and starts to take connections there.
+/// The next connection; none once the listener was shut down.
+fn next(listener: &TcpListener, hub: &Hub) -> Option<TcpStream> {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => return Some(stream),
+            Err(_) if hub.yields.load(Ordering::Relaxed) => return None,
+            Err(e) => {
+                warn!("accept: {e}");
+                may::coroutine::sleep(ACCEPT_PAUSE);
+            }
+        }
+    }
+}
+
+/// Binds a front and starts to take connections there; `shared` with the process that runs already.
 fn listen(
     address: SocketAddr,
     hub: &Arc<Hub>,
+    shared: bool,
     serve: impl Fn(Conn, Port) + Send + 'static,
-) -> io::Result<SocketAddr> {
+) -> io::Result<Arc<TcpListener>> {
     // May's listener shares its port with any other that does the same: a second server started by mistake would
     // take half of the first one's callers. A plain listener fails where somebody listens.
-    drop(std::net::TcpListener::bind(address)?);
-    let listener = TcpListener::bind(address)?;
-    let bound = listener.local_addr()?;
-    let hub = hub.clone();
-    spawn(move || accept(listener, &hub, serve));
-    Ok(bound)
+    if !shared {
+        drop(std::net::TcpListener::bind(address)?);
+    }
+    let listener = Arc::new(TcpListener::bind(address)?);
+    let (listens, hub) = (listener.clone(), hub.clone());
+    spawn(move || accept(&listens, &hub, serve));
+    Ok(listener)
 }
 
 /// Ends the accepting coroutine on `address`, and with it the listener: it looks after each connection.
@@ -372,7 +405,15 @@
     runner: Runner,
     below: Below,
     control: Arc<AtomicBool>,
-    listeners: Vec<SocketAddr>,
+    fronts: Vec<Arc<TcpListener>>,
+    config: Config,
+    certificate: Shared,
+    /// The process that ran before, until it has handed over and ended.
+    predecessor: Option<handover::Partner>,
+    /// The one that takes over from this one.
+    successor: handover::Partner,
+    /// What makes going on impossible.
+    fault: Option<String>,
 }
 
 impl Node {
@@ -382,21 +423,72 @@
         let (sender, inbox) = std::sync::mpsc::channel();
         let hub = Arc::new(Hub::new(sender, config.sockets, config.links()));
         let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
-        let mut listeners = Vec::new();
-        let mut bound = |key: &str, front: &str, address: SocketAddr, bound: io::Result<SocketAddr>| {
-            let bound = bound.map_err(|e| format!("{key}: {address}: {e}"))?;
-            info!("{} takes {front} on {bound}", config.name);
-            listeners.push(bound);
+        let runner = match (config.agent, config.appliance.scgi_application) {
+            (Some(_), _) => Runner::Agent(agent::Link::start(&hub)),
+            (None, Some(address)) => Runner::Application(scgi::Application::new(address, &hub)),
+            (None, None) => Runner::None,
+        };
+        let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
+            Some(address) => Below::Scgi(address),
+            None => Below::Vault(vault::Link::start(&hub)),
+        };
+        let control = Arc::new(AtomicBool::new(true));
+        if config.control.is_some() {
+            control::start(&hub, config.listen.ip(), config.name.clone(), control.clone());
+        }
+        if let Some(address) = config.admin {
+            admin::start(address, &hub).map_err(|e| format!("admin: {address}: {e}"))?;
+        }
+        let predecessor = config.handover.as_ref().and_then(|path| handover::find(path, &hub));
+        let mut node = Self {
+            core,
+            clock,
+            hub,
+            inbox,
+            runner,
+            below,
+            control,
+            fronts: Vec::new(),
+            config: config.clone(),
+            certificate,
+            predecessor,
+            successor: handover::Partner::default(),
+            fault: None,
+        };
+        node.hub.share(node.predecessor.is_some());
+        if node.predecessor.is_none() {
+            node.open_fronts()?;
+        }
+        if !matches!(node.runner, Runner::Agent(_)) {
+            node.able();
+        }
+        Ok(node)
+    }
+
+    /// Another process serves at the same addresses, until it has handed over.
+    pub fn takes_over(&self) -> bool {
+        self.predecessor.is_some()
+    }
+
+    /// Binds the fronts, and waits for the next process that takes over.
+    fn open_fronts(&mut self) -> Result<(), String> {
+        let (hub, shared, config) = (&self.hub, self.predecessor.is_some(), &self.config);
+        let mut fronts = Vec::new();
+        let mut bound = |key: &str, front: &str, address: SocketAddr, bound: io::Result<Arc<TcpListener>>| {
+            let told = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
+            let (at, listener) = told.map_err(|e| format!("{key}: {address}: {e}"))?;
+            info!("{} takes {front} on {at}", config.name);
+            fronts.push(listener);
             Ok::<(), String>(())
         };
         let plain = |stream, port: Port| spawn(move || port.serve(stream, http::Http));
-        bound("listen", "HTTP", config.listen, listen(config.listen, &hub, plain))?;
+        bound("listen", "HTTP", config.listen, listen(config.listen, hub, shared, plain))?;
         if let Some(address) = config.appliance.scgi_listen {
             let scgi = |stream, port: Port| spawn(move || port.serve(stream, scgi::Scgi));
-            bound("scgi.listen", "SCGI", address, listen(address, &hub, scgi))?;
+            bound("scgi.listen", "SCGI", address, listen(address, hub, shared, scgi))?;
         }
         if let Some(address) = config.appliance.tls_listen {
-            let tls = tls::config(certificate)?;
+            let tls = tls::config(self.certificate.clone())?;
             let secure = move |stream, port: Port| {
                 let tls = tls.clone();
                 spawn_deep(move || {
@@ -405,28 +497,32 @@
                     }
                 });
             };
-            bound("tls.listen", "HTTPS", address, listen(address, &hub, secure))?;
+            bound("tls.listen", "HTTPS", address, listen(address, hub, shared, secure))?;
         }
-        let runner = match (config.agent, config.appliance.scgi_application) {
-            (Some(_), _) => Runner::Agent(agent::Link::start(&hub)),
-            (None, Some(address)) => Runner::Application(scgi::Application::new(address, &hub)),
-            (None, None) => Runner::None,
-        };
-        let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
-            Some(address) => Below::Scgi(address),
-            None => Below::Vault(vault::Link::start(&hub)),
-        };
-        let control = Arc::new(AtomicBool::new(true));
-        if config.control.is_some() {
-            control::start(&hub, config.listen.ip(), config.name.clone(), control.clone());
+        self.fronts = fronts;
+        if let Some(path) = &self.config.handover {
+            match handover::offer(path, &self.hub) {
+                Ok(successor) => self.successor = successor,
+                Err(e) => warn!("no process can take over from this one: {}: {e}", path.display()),
+            }
         }
-        if !matches!(runner, Runner::Agent(_)) {
-            hub.ready.store(true, Ordering::Release);
+        Ok(())
+    }
+
+    /// Requests can be run: the process that served before is asked to hand over, or callers are served.
+    fn able(&mut self) {
+        match &self.predecessor {
+            Some(predecessor) if self.fronts.is_empty() => predecessor.send(handover::Word::Begin),
+            _ => self.hub.ready.store(true, Ordering::Release),
         }
-        if let Some(address) = config.admin {
-            admin::start(address, &hub).map_err(|e| format!("admin: {address}: {e}"))?;
+    }
+
+    /// Takes callers; a process that served before has handed over, or is gone.
+    fn take_callers(&mut self) {
+        if self.fronts.is_empty() && !self.hub.yields.load(Ordering::Relaxed) {
+            self.fault = self.open_fronts().err();
+            self.hub.ready.store(true, Ordering::Release);
         }
-        Ok(Self { core, clock, hub, inbox, runner, below, control, listeners })
     }
 
     /// A handle for other threads.
@@ -435,7 +531,7 @@
     }
 
     /// Runs until the server has left.
-    pub fn run(mut self) {
+    pub fn run(mut self) -> Result<(), String> {
         let mut leaving = false;
         loop {
             let wait = self
@@ -455,11 +551,16 @@
                 leaving |= effect == Effect::Leave;
                 self.perform(effect);
             }
+            if let Some(fault) = self.fault {
+                return Err(fault);
+            }
             if leaving && self.hub.ports().places.is_empty() {
                 break;
             }
         }
+        self.successor.finish();
         info!("counters at exit: {}", self.core.counters());
+        Ok(())
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -467,6 +568,8 @@
             Effect::Answer { conn, answer } => {
                 if let Some(place) = self.hub.ports().places.get(&conn) {
                     let _ = place.answer.send(answer);
+                } else if let Some(predecessor) = &self.predecessor {
+                    predecessor.answer(conn, &answer);
                 }
             }
             Effect::Agent(command) => match &self.runner {
@@ -506,9 +609,34 @@
             }
             Effect::StopListening => {
                 self.hub.closed.store(true, Ordering::Relaxed);
-                self.listeners.iter().for_each(|at| stop_listening(*at));
+                for listener in &self.fronts {
+                    let _ = listener.local_addr().map(stop_listening);
+                }
+            }
+            Effect::Ready => self.able(),
+            Effect::HandOver(keys) => {
+                info!("hands over to a new process: {} keys", keys.len());
+                self.hub.share(true);
+                self.successor.send(handover::Word::Keys(keys));
+            }
+            Effect::Forward(request) => self.successor.send(handover::Word::Request(request)),
+            Effect::Settled { key, ran, result } => {
+                self.successor.send(handover::Word::Settled(key, ran, result));
+            }
+            Effect::Listen => self.take_callers(),
+            Effect::Alone => {
+                self.hub.share(false);
+                self.take_callers();
+                self.predecessor = None;
+            }
+            Effect::Yield => {
+                info!("leaves to the process that took over: counters so far: {}", self.core.counters());
+                self.hub.yields.store(true, Ordering::Relaxed);
+                for listener in self.fronts.drain(..) {
+                    // Wakes the coroutine that accepts. A connection to the address could reach the other process.
+                    let _ = SockRef::from(listener.inner()).shutdown(Shutdown::Both);
+                }
             }
-            Effect::Ready => self.hub.ready.store(true, Ordering::Release),
             Effect::Leave => info!("all is answered"),
             Effect::Log(text) => info!("{text}"),
             Effect::Told { ticket, lines } => {
--- a/src/net/vault.rs
+++ b/src/net/vault.rs
@@ -84,7 +84,7 @@
         match order {
             Order::Ask { handle, attempt, once, patience, body } => {
                 let mut pool = lock(&self.pool);
-                let room = pool.out.len() < self.hub.most_calls;
+                let room = pool.out.len() < self.hub.most_calls();
                 if room {
                     if let Some((_, Some(conn))) = pool.out.insert(handle, (attempt, None)) {
                         conn.shutdown(Shutdown::Both);
@@ -167,7 +167,7 @@
         pool.out.remove(&handle);
     }
     // A connection that brought more than its own reply, or none that can be read, is not used again.
-    let room = pool.idle.len() < MOST_IDLE.0.min(hub.most_calls / MOST_IDLE.1);
+    let room = pool.idle.len() < MOST_IDLE.0.min(hub.most_calls() / MOST_IDLE.1);
     if ended.is_ok() && lines.is_empty() && pool.epoch == epoch && room {
         pool.idle.push((conn, Instant::now()));
     } else {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -296,6 +296,8 @@
     pub site: Site,
     /// The fronts and the appliance beside the platform's port.
     pub appliance: Appliance,
+    /// The Unix socket through which a new version takes over from the one that runs.
+    pub handover: Option<PathBuf>,
     /// The file as it was read.
     told: JsonValue,
 }
@@ -440,6 +442,11 @@
         let path = vars.get("RELAY_CONFIG").ok_or_else(|| ConfigError::new("RELAY_CONFIG", "is not set"))?;
         let mut config = Self::parse(&read_file("RELAY_CONFIG", path)?, &vars)?;
         config.appliance = Appliance::from_env()?;
+        // Processes of one server share this folder, and nobody else does.
+        let name = config.name.replace(|c: char| !c.is_ascii_alphanumeric(), "_");
+        config.handover = std::env::var_os("TMPDIR")
+            .filter(|dir| !dir.is_empty())
+            .map(|dir| Path::new(&dir).join(format!("hopwalk-{name}.sock")));
         if config.agent.is_none() && config.appliance.scgi_application.is_none() {
             return Err(ConfigError::new("agent", "is missing, and no scgi.application takes its place"));
         }
@@ -558,6 +565,7 @@
             sockets,
             site,
             appliance: Appliance::default(),
+            handover: None,
             told: json,
         })
     }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -230,3 +230,43 @@
     let wrong = Appliance::parse(r#"{"scgi": {"listen": 4000}}"#).unwrap_err();
     assert_eq!(wrong.key, "scgi.listen");
 }
+
+#[test]
+fn what_a_process_hands_over_is_read_as_it_was_said() {
+    use hopwalk::core::{KeyState, Request, Succession};
+    use hopwalk::net::handover::{parse, Heard, Word};
+    let key: hopwalk::core::Key = "a key, spaces\nand all".into();
+    let result: Option<hopwalk::core::Bytes> = Some((*b"\0\xff").into());
+    let until = Duration::from_micros(1_764_576_000_123_456);
+    let state = KeyState { key: key.clone(), what: u64::MAX, until, open: true, result: result.clone() };
+    let heard = |word: Word| -> Vec<_> { word.lines().iter().map(|l| parse(l).expect(l)).collect() };
+    let complete = Heard::Word(Succession::Complete);
+    assert_eq!(heard(Word::Keys(vec![state.clone()])), [Heard::Word(Succession::Key(state)), complete]);
+    for result in [None, Some((*b"").into()), result] {
+        let settled = Succession::Settled { key: key.clone(), ran: true, result: result.clone() };
+        assert_eq!(heard(Word::Settled(key.clone(), true, result)), [Heard::Word(settled)]);
+    }
+    let request = Request {
+        conn: 7,
+        handle: "9b1f03aa5c7e2d41".parse().unwrap(),
+        class: "queue status".to_string(),
+        start: until,
+        patience: Some(Duration::from_millis(480)),
+        caller: 4,
+        size_kb: 24.5,
+        rank: 0.1 + 0.2,
+        key: Some(key),
+        object: true,
+        body: (*b"\r\n").into(),
+    };
+    assert_eq!(heard(Word::Request(Box::new(request.clone()))), [Heard::Request(Box::new(request))]);
+    let refused = Verdict::Refused { retry_after: Duration::from_millis(50), no_retry: true };
+    for verdict in [Verdict::Served((*b"r").into()), refused, Verdict::Failed, Verdict::NoSuchClass] {
+        let answer = Answer { verdict, signal: Some(0.25), close: true };
+        let told = Succession::Answered { conn: 7, answer: answer.clone() };
+        assert_eq!(heard(Word::Answer(7, Arc::new(answer))), [Heard::Word(told)]);
+    }
+    for bad in ["", "begin", "key a b\n", "answer 7 - served\n", "request 1\n"] {
+        assert_eq!(parse(bad), None, "{bad}");
+    }
+}
--- a/tests/program/admin.rs
+++ b/tests/program/admin.rs
@@ -39,6 +39,7 @@
     // Guards against a door whose few places are taken by clients that never finish their call.
     let agent = Agent::start(1, QUICK, false);
     let program = Program::start(with_agent(&agent));
+    wait_for("the greeting", || program.call("GET", "/ready") == 200);
     let mut stuck: Vec<_> = (0..40).map(|_| connect(program.admin)).collect();
     stuck.iter_mut().for_each(|s| drop(s.write_all(b"POST /drain HT")));
     let since = Instant::now();
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -5,6 +5,7 @@
 mod authority;
 mod scgi;
 mod stand_in;
+mod upgrade;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, UdpSocket};
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -286,7 +286,8 @@
     log: Arc<Mutex<String>>,
     pub control: UdpSocket,
     config: String,
-    dir: Scratch,
+    appliance: String,
+    dir: Arc<Scratch>,
 }
 
 /// Parts of the configuration that tests set.
@@ -329,16 +330,21 @@
 /// Starts the program's binary on configuration texts, without waiting for it.
 pub fn spawn_program(config: &str, appliance: &str) -> (Child, Scratch) {
     let dir = Scratch::new();
+    (spawn_in(&dir, config, appliance), dir)
+}
+
+/// The same in a folder that it shares with those that were started there before.
+fn spawn_in(dir: &Scratch, config: &str, appliance: &str) -> Child {
     let (config_file, appliance_file) = (dir.path("config.json"), dir.path("appliance.json"));
     std::fs::write(&config_file, config).unwrap();
     std::fs::write(&appliance_file, appliance).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_hopwalk"))
+    Command::new(env!("CARGO_BIN_EXE_hopwalk"))
+        .env("TMPDIR", &dir.0)
         .env("RELAY_CONFIG", config_file)
         .env("RELAY_APPLIANCE", appliance_file)
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap();
-    (child, dir)
+        .unwrap()
 }
 
 impl Program {
@@ -365,7 +371,15 @@
             address("below", setup.below),
             setup.appliance,
         );
-        let (mut child, dir) = spawn_program(&config, &scgi);
+        let program = Self::launch(config, scgi, Arc::new(Scratch::new()), control);
+        if setup.agent.is_some() {
+            program.wait_for_log("linked to the agent");
+        }
+        program
+    }
+
+    fn launch(config: String, appliance: String, dir: Arc<Scratch>, control: UdpSocket) -> Self {
+        let mut child = spawn_in(&dir, &config, &appliance);
         let log = Arc::new(Mutex::new(String::new()));
         let (lines, logged) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
         thread::spawn(move || {
@@ -381,14 +395,25 @@
             log,
             control,
             config,
+            appliance,
             dir,
         };
         program.http = program.listening("takes HTTP on ");
         program.scgi = program.listening("takes SCGI on ");
         program.admin = program.listening("takes operators' calls on ");
-        if setup.agent.is_some() {
-            program.wait_for_log("linked to the agent");
-        }
+        program
+    }
+
+    /// A new version of this program: the same addresses but for the operators' and the agent's.
+    pub fn successor(&self, from: &Agent, to: &Agent) -> Self {
+        let fixed = |text: &str, at: SocketAddr| {
+            text.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{at}""#))
+        };
+        let config =
+            fixed(&self.config, self.http).replace(&from.address.to_string(), &to.address.to_string());
+        let control = self.control.try_clone().unwrap();
+        let program = Self::launch(config, fixed(&self.appliance, self.scgi), self.dir.clone(), control);
+        wait_for("the handover", || program.call("GET", "/ready") == 200);
         program
     }
 
--- /dev/null
+++ b/tests/program/upgrade.rs
@@ -0,0 +1,63 @@
+//! A new version takes over from the program that serves.
+
+use super::*;
+
+#[test]
+fn a_new_process_takes_over_with_all_keys_and_nothing_is_lost_or_run_twice() {
+    // Guards against a second process that cannot start, shares the address by chance, or runs a key again.
+    let (old_agent, new_agent) =
+        (Agent::start(2, Duration::from_millis(400), true), Agent::start(2, QUICK, true));
+    let mut old = Program::start(with_agent(&old_agent));
+    assert_eq!(exchange(old.http, &Ask::keyed("done", b"d").http()).body, b"made:dreply:d");
+    let (mut open, mut kept) = (connect(old.http), connect(old.http));
+    open.write_all(&Ask::keyed("open", b"o").http()).unwrap();
+    wait_for("the launch", || old_agent.launches().len() == 2);
+    let new = old.successor(&old_agent, &new_agent);
+
+    // What still comes to the old process is passed on, and its connections end in good order.
+    kept.write_all(&Ask::new("queue-prefs", b"k").http()).unwrap();
+    let answer = read_answer(&mut kept);
+    assert_eq!((answer.status, answer.body), (200, b"made:kreply:k".to_vec()));
+    assert!(answer.head.contains("Connection: close"), "{}", answer.head);
+    old.signal("TERM");
+    old.wait_for_log("leaves to the process that took over");
+
+    // Tries of keys that the old process ran, or still runs, get its results from the new one.
+    let mut again = connect(new.http);
+    again.write_all(&Ask::keyed("open", b"o").http()).unwrap();
+    assert_eq!(exchange(new.http, &Ask::keyed("done", b"d").http()).body, b"made:dreply:d");
+    assert_eq!(exchange(new.http, &Ask::keyed("done", b"other").http()).status, 400);
+    assert_eq!(read_answer(&mut open).body, b"made:oreply:o");
+    assert_eq!(read_answer(&mut again).body, b"made:oreply:o");
+    assert_eq!(exchange(new.scgi, &Ask::keyed("new", b"n").scgi()).body, b"made:nreply:n");
+    assert!(old.end().success());
+    let launched: Vec<_> = new_agent.launches().into_iter().map(|(_, _, arg)| arg).collect();
+    assert_eq!((old_agent.launches().len(), launched), (2, vec![b"k".to_vec(), b"n".to_vec()]));
+}
+
+#[test]
+fn the_old_process_serves_on_if_the_new_one_goes_away() {
+    let agent = Agent::start(1, QUICK, false);
+    let old = Program::start(with_agent(&agent));
+    drop(old.successor(&agent, &Agent::start(1, QUICK, false)));
+    wait_for("the old process", || {
+        let mut stream = connect(old.http);
+        let _ = stream.write_all(&Ask::new("queue-status", b"a").http());
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).is_ok() && status.ends_with(b"200")
+    });
+    assert_eq!(exchange(old.http, &Ask::new("queue-status", b"b").http()).body, b"made:b");
+    let keyed = exchange(old.http, &Ask::keyed("k", b"x").http());
+    assert_eq!(keyed.status, 503, "the new process may have run this key");
+}
+
+#[test]
+fn a_handover_socket_that_nobody_listens_on_is_replaced() {
+    let agent = Agent::start(1, QUICK, false);
+    let mut first = Program::start(with_agent(&agent));
+    first.signal("KILL");
+    first.end();
+    let second = first.successor(&agent, &agent.moved());
+    assert!(!second.log().contains("takes over"), "{}", second.log());
+    assert_eq!(exchange(second.http, &Ask::new("queue-status", b"a").http()).body, b"made:a");
+}
