Leave slow and new connections their time: silent ones make room first

Seen: one of twelve runs of the tests on a busy machine lost a new connection before its first request; by reading, an idle time of 100 ms closes it (front.rs left), and a request that takes 2 s to come was evicted like a client that says nothing (net/mod.rs evict: oldest that never asked).

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -14,6 +14,8 @@
 /// A new connection must bring its first whole request within this time of being accepted, whether it says half
 /// of one or nothing at all: callers connect when they have something to say.
 const FIRST_PATIENCE: Duration = Duration::from_millis(2500);
+/// A new connection is not closed as idle before this time: its first request is on the way.
+const NEW_PATIENCE: Duration = Duration::from_secs(1);
 /// A caller that reads nothing for this long has stopped reading.
 pub(super) const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// An idle connection looks this often whether it should close.
@@ -63,7 +65,7 @@
     let mut bytes = Vec::new();
     let mut accepted = Some(port.accepted);
     loop {
-        let message = match read_message(&mut stream, wire, &mut bytes, hub, accepted.take()) {
+        let message = match read_message(&mut stream, wire, &mut bytes, port, accepted.take()) {
             Ok(message) => message,
             Err(Stop::Quiet) => return,
             Err(Stop::Bad(bad)) => {
@@ -103,16 +105,21 @@
     stream: &mut impl Stream,
     wire: W,
     bytes: &mut Vec<u8>,
-    hub: &Hub,
+    port: &Port,
     accepted: Option<Instant>,
 ) -> Result<Message, Stop> {
+    let hub = &*port.hub;
     let since = Instant::now();
     let mut first_byte = (!bytes.is_empty()).then_some(since);
-    let mut last_look = false;
+    let (mut last_look, mut told) = (false, false);
     loop {
         if let Some(message) = wire.parse(bytes).map_err(Stop::Bad)? {
             return Ok(message);
         }
+        if first_byte.is_some() && !told {
+            told = true;
+            port.begins();
+        }
         let idle = first_byte.is_none();
         let waited = Waited {
             idle: since.elapsed(),
@@ -160,6 +167,9 @@
     fn left(&self, idle_limit: Duration, closed: bool) -> Duration {
         let first = self.unasked.map_or(Duration::MAX, |since| FIRST_PATIENCE.saturating_sub(since));
         let next = match self.partial {
+            None if self.unasked.is_some() && !closed => {
+                idle_limit.max(NEW_PATIENCE).saturating_sub(self.idle)
+            }
             None => idle_limit.saturating_sub(self.idle),
             // A length that lies must not hold up the end of a drain.
             Some(_) if closed => Duration::ZERO,
@@ -220,6 +230,10 @@
         assert_eq!(left(s(25), None, None, false), s(5));
         assert_eq!(left(s(1), Some(ms(1)), None, true), Duration::ZERO);
         assert_eq!(left(s(60), Some(s(11)), None, false), Duration::ZERO);
+        // Guards against a short idle time that closes a connection before its first request is there.
+        let short = |unasked, closed| Waited { idle: ms(200), partial: None, unasked }.left(ms(100), closed);
+        assert_eq!(short(Some(ms(200)), false), NEW_PATIENCE - ms(200));
+        assert_eq!([short(None, false), short(Some(ms(200)), true)], [Duration::ZERO; 2]);
         // And against half a request on a new connection, or nothing, that keeps its place for long.
         for partial in [None, Some(ms(100))] {
             assert_eq!(left(s(1), partial, Some(s(1)), false), FIRST_PATIENCE - s(1));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -181,6 +181,7 @@
             answer,
             stream: stream.clone(),
             asked: false,
+            begun: false,
             busy: false,
             evicted: false,
             since: accepted,
@@ -211,6 +212,8 @@
     stream: Conn,
     /// It has brought a whole message.
     asked: bool,
+    /// A part of a message is there: the rest may be on the way, if slowly.
+    begun: bool,
     /// A message of it is not answered yet.
     busy: bool,
     /// It was closed to make room, and its coroutine has not noticed yet.
@@ -228,7 +231,8 @@
 
 impl Ports {
     /// Takes in a connection; false if there is no room and none can be made. Clients that connect and say
-    /// nothing must not keep out those that do: they make room first, then whoever has been idle for longest.
+    /// nothing must not keep out those that do: they make room first, then those with half a
+    /// request, then whoever has been idle for longest.
     fn take_in(&mut self, conn: ConnId, place: Place, most: usize) -> bool {
         if self.places.len() - self.evicted >= most
             && (self.evicted >= MOST_EVICTED || !self.evict(place.since))
@@ -241,7 +245,8 @@
 
     fn evict(&mut self, now: Instant) -> bool {
         let rests = |p: &&mut Place| !p.busy && !p.evicted && now.duration_since(p.since) >= EVICT_AFTER;
-        let Some(place) = self.places.values_mut().filter(rests).min_by_key(|p| (p.asked, p.since)) else {
+        let Some(place) = self.places.values_mut().filter(rests).min_by_key(|p| (p.asked, p.begun, p.since))
+        else {
             return false;
         };
         place.evicted = true;
@@ -268,10 +273,15 @@
     fn asks(&self) -> bool {
         let mut ports = self.hub.ports();
         let Some(place) = ports.places.get_mut(&self.conn).filter(|p| !p.evicted) else { return false };
-        (place.asked, place.busy) = (true, true);
+        (place.asked, place.begun, place.busy) = (true, false, true);
         true
     }
 
+    /// A part of a message was read.
+    fn begins(&self) {
+        self.hub.ports().places.get_mut(&self.conn).into_iter().for_each(|place| place.begun = true);
+    }
+
     /// The message was answered.
     fn rests(&self) {
         if let Some(place) = self.hub.ports().places.get_mut(&self.conn) {
