--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -35,7 +35,11 @@
                 }
                 self.keys.inherit(state, id);
             }
-            Succession::Complete => self.effects.push(Effect::Listen),
+            Succession::Complete { standby } => {
+                // A drain ends when operators say so, not with a new version.
+                self.standby |= standby;
+                self.effects.push(Effect::Listen);
+            }
             Succession::Settled { key, ran, result } => self.settled(now, &key, ran, result),
             Succession::PredecessorGone => {
                 // What it had open has ended, nobody knows how: the keys stay taken.
@@ -47,7 +51,7 @@
             }
             Succession::Begin => {
                 self.partner.yields = true;
-                self.effects.push(Effect::HandOver(self.keys.all()));
+                self.effects.push(Effect::HandOver { keys: self.keys.all(), standby: self.standby });
             }
             Succession::Answered { conn, answer } => {
                 if self.partner.passed_on.remove(&conn) {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -149,7 +149,10 @@
     /// A key that the old process handed over.
     Key(KeyState),
     /// All keys were handed over.
-    Complete,
+    Complete {
+        /// Operators want callers kept away.
+        standby: bool,
+    },
     /// The last try of an open key is over.
     Settled {
         /// The key.
@@ -342,8 +345,13 @@
     Relink,
     /// The agent is up: requests can be served.
     Ready,
-    /// Hand all keys to the process that takes over.
-    HandOver(Vec<KeyState>),
+    /// Hand over to the process that takes over.
+    HandOver {
+        /// All keys.
+        keys: Vec<KeyState>,
+        /// Operators want callers kept away.
+        standby: bool,
+    },
     /// Pass a request on to it.
     Forward(Box<Request>),
     /// Tell it what came of a key.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -35,8 +35,8 @@
 pub enum Word {
     /// Decide from now on.
     Begin,
-    /// All keys.
-    Keys(Vec<KeyState>),
+    /// All keys, and whether operators want callers kept away.
+    Keys(Vec<KeyState>, bool),
     /// What came of an open key.
     Settled(Key, bool, Option<Bytes>),
     /// A request that came to the old process.
@@ -188,13 +188,13 @@
         let key = |key: &Key| base64(Some(key.as_bytes()));
         match self {
             Self::Begin => vec!["begin\n".to_string()],
-            Self::Keys(keys) => {
+            Self::Keys(keys, standby) => {
                 let line = |k: &KeyState| {
                     let (until, open, result) =
                         (k.until.as_micros(), u8::from(k.open), base64(k.result.as_deref()));
                     format!("key {} {:x} {until} {open} {result}\n", key(&k.key), k.what)
                 };
-                keys.iter().map(line).chain(["complete\n".to_string()]).collect()
+                keys.iter().map(line).chain([format!("complete {}\n", u8::from(*standby))]).collect()
             }
             Self::Settled(k, ran, result) => {
                 vec![format!("settled {} {} {}\n", key(k), u8::from(*ran), base64(result.as_deref()))]
@@ -259,7 +259,7 @@
     let words: Vec<&str> = line.strip_suffix('\n')?.split(' ').collect();
     let word = match words[..] {
         ["begin"] => Succession::Begin,
-        ["complete"] => Succession::Complete,
+        ["complete", standby] => Succession::Complete { standby: flag(standby)? },
         ["key", key, what, until, open, result] => Succession::Key(KeyState {
             key: text(key)?.into(),
             what: u64::from_str_radix(what, 16).ok()?,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -631,10 +631,10 @@
                 }
             }
             Effect::Ready => self.able(),
-            Effect::HandOver(keys) => {
+            Effect::HandOver { keys, standby } => {
                 info!("hands over to a new process: {} keys", keys.len());
                 self.hub.share(true);
-                self.successor.send(handover::Word::Keys(keys));
+                self.successor.send(handover::Word::Keys(keys, standby));
             }
             Effect::Forward(request) => self.successor.send(handover::Word::Request(request)),
             Effect::Settled { key, ran, result } => {
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -240,8 +240,8 @@
     let until = Duration::from_micros(1_764_576_000_123_456);
     let state = KeyState { key: key.clone(), what: u64::MAX, until, open: true, result: result.clone() };
     let heard = |word: Word| -> Vec<_> { word.lines().iter().map(|l| parse(l).expect(l)).collect() };
-    let complete = Heard::Word(Succession::Complete);
-    assert_eq!(heard(Word::Keys(vec![state.clone()])), [Heard::Word(Succession::Key(state)), complete]);
+    let complete = Heard::Word(Succession::Complete { standby: true });
+    assert_eq!(heard(Word::Keys(vec![state.clone()], true)), [Heard::Word(Succession::Key(state)), complete]);
     for result in [None, Some((*b"").into()), result] {
         let settled = Succession::Settled { key: key.clone(), ran: true, result: result.clone() };
         assert_eq!(heard(Word::Settled(key.clone(), true, result)), [Heard::Word(settled)]);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -527,10 +527,12 @@
     let begun = old.launches();
     assert!((1..14).contains(&begun), "{begun} begun");
     let effects = old.step(1, [Input::Succession(Succession::Begin)]);
-    let Some(Effect::HandOver(keys)) = effects.into_iter().find(|e| matches!(e, Effect::HandOver(_))) else {
-        panic!("no keys")
-    };
-    let words = keys.into_iter().map(Succession::Key).chain([Succession::Complete]);
+    let keys = effects.into_iter().find_map(|e| match e {
+        Effect::HandOver { keys, standby: false } => Some(keys),
+        _ => None,
+    });
+    let keys = keys.expect("the keys");
+    let words = keys.into_iter().map(Succession::Key).chain([Succession::Complete { standby: false }]);
     let listens = new.step(2, words.map(Input::Succession));
     assert!(listens.contains(&Effect::Listen));
     (old, new, [run, held])
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -78,3 +78,21 @@
     assert_eq!(read_answer(&mut open[11]).body, b"made:6", "the others are read on");
     assert_eq!(exchange(new.http, &Ask::new("queue-status", b"n").http()).body, b"made:n");
 }
+
+#[test]
+fn a_server_that_operators_drained_stays_so_with_a_new_version() {
+    // Guards against a drained server that takes callers because it was upgraded.
+    let agent = Agent::start(1, QUICK, false);
+    let old = Program::start(with_agent(&agent));
+    assert_eq!(old.call("POST", "/drain"), 200);
+    let new = old.successor(&agent, &Agent::start(1, QUICK, false));
+    drop(old);
+    for status in [503, 200] {
+        wait_for("the new process alone", || {
+            let mut stream = connect(new.http);
+            let (_, mut bytes) = (stream.write_all(b"GET /check HTTP/1.1\r\n\r\n"), [0; 12]);
+            stream.read_exact(&mut bytes).is_ok() && bytes.ends_with(status.to_string().as_bytes())
+        });
+        assert_eq!(new.call("POST", "/undrain"), 200);
+    }
+}
