--- a/src/brain.rs
+++ b/src/brain.rs
@@ -380,8 +380,8 @@
         })
     }
 
-    /// Other settings for the same life. A class keeps its place and what was learned of it; those in `fresh` are
-    /// new, also where a dropped one stood.
+    /// Other settings for the same life. A class keeps its place and what was learned of it; those in
+    /// `fresh` are new, also where a dropped one stood.
     pub fn retune(&mut self, settings: Settings, fresh: &[usize]) {
         self.lengths.truncate(settings.classes.len());
         let known = self.lengths.len();
