Test who makes room on the table itself, and read on after interrupted calls in tests

Seen: 1 of 9 runs of the program's tests, three at a time, closed the slow request of the test for the table; 1 of 12 later ones met an interrupted read and a port that another run had taken.

Checked: under that load the program had not read the first half when room was made, so the order of eviction was right and the test was not; it is a unit test now, and fails without the order. Interrupted reads are read on (tests/program/stand_in.rs).

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -664,3 +664,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn silent_clients_make_room_before_slow_requests_and_those_before_idle_callers() {
+        // Guards against a request that takes its time being closed in favour of clients that say nothing.
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let long_ago = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
+        let mut ports = Ports::default();
+        for (conn, asked, begun, busy) in [
+            (1, true, false, true),
+            (2, true, false, false),
+            (3, false, true, false),
+            (4, false, false, false),
+        ] {
+            let stream = Conn::connect(address, front::WRITE_PATIENCE, front::WRITE_PATIENCE).unwrap();
+            let since = long_ago + Duration::from_millis(conn);
+            let place = Place { answer: co::channel().0, stream, asked, begun, busy, evicted: false, since };
+            ports.places.insert(conn, place);
+        }
+        for expected in [4, 3, 2] {
+            assert!(ports.evict(Instant::now()));
+            assert!(ports.places[&expected].evicted, "{expected}");
+        }
+        assert!(!ports.evict(Instant::now()), "who is owed an answer stays");
+        ports.shrink(0);
+    }
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -289,10 +289,7 @@
     // Guards against a table full of silent connections that keeps the gateways out.
     let agent = Agent::start(1, QUICK, false);
     let program = Program::start(Setup { sockets: Some(6), ..with_agent(&agent) });
-    // A slow request came first, and is not taken for one of them.
-    let (mut slow, ask) = (connect(program.http), Ask::new("queue-status", b"slow").http());
-    slow.write_all(&ask[..40]).unwrap();
-    let mut silent: Vec<_> = (0..2).map(|_| connect(program.http)).collect();
+    let mut silent: Vec<_> = (0..3).map(|_| connect(program.http)).collect();
     let since = Instant::now();
     wait_for("a place", || {
         let mut stream = connect(program.http);
@@ -301,8 +298,6 @@
     });
     assert!(is_closed(&mut silent[0]), "who was silent for longest makes room");
     assert!(since.elapsed() < Duration::from_secs(2), "before it would be closed in any case");
-    slow.write_all(&ask[40..]).unwrap();
-    assert_eq!(read_answer(&mut slow).body, b"made:slow");
 }
 
 #[test]
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -547,7 +547,9 @@
 pub fn read_answer(stream: &mut impl Read) -> Answer {
     let (mut bytes, mut one) = (Vec::new(), [0]);
     while !bytes.ends_with(b"\r\n\r\n") {
-        assert_eq!(stream.read(&mut one).unwrap(), 1, "ended after {:?}", String::from_utf8_lossy(&bytes));
+        // Unlike a plain read, this one goes on after an interrupted system call.
+        let read = stream.read_exact(&mut one);
+        read.unwrap_or_else(|e| panic!("{e} after {:?}", String::from_utf8_lossy(&bytes)));
         bytes.push(one[0]);
     }
     let head = String::from_utf8(bytes).unwrap();
