--- /dev/null
+++ b/fuzz/src/bin/hopwalk-fuzz.rs
@@ -0,0 +1,474 @@
+//! Runs, minimises, replays and measures the fuzz targets, and plants defects to see which are found.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode, Stdio};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use clap::{Parser, Subcommand};
+use hopwalk_fuzz::{Target, TARGETS};
+
+/// The instrumentation that libFuzzer reads, on the stable toolchain.
+const FLAGS: &str = "--cfg fuzzing -Ccodegen-units=1 -Cpasses=sancov-module \
+    -Cllvm-args=-sanitizer-coverage-level=4 -Cllvm-args=-sanitizer-coverage-inline-8bit-counters \
+    -Cllvm-args=-sanitizer-coverage-pc-table -Cllvm-args=-sanitizer-coverage-trace-compares";
+const TRIPLE: &str = "x86_64-unknown-linux-gnu";
+/// Corpus files beyond this are left out when a corpus is made smaller: the repository keeps small files only.
+const MOST_FILES: usize = 250;
+
+#[derive(Parser)]
+#[command(name = "hopwalk-fuzz", version, about = "Fuzzes hopwalk: see fuzz/README.md")]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Names all targets
+    List,
+    /// Fuzzes targets (all, unless some are named) and prints what was run
+    Run {
+        /// Wall seconds for each target
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Targets at once
+        #[arg(long, default_value_t = 4)]
+        jobs: usize,
+        /// The targets
+        targets: Vec<String>,
+    },
+    /// Merges what runs found into the corpus and keeps the fewest files with the same coverage
+    Minimise {
+        /// The targets; all, unless some are named
+        targets: Vec<String>,
+    },
+    /// Runs one input through a target, without instrumentation
+    Replay {
+        /// The target
+        target: String,
+        /// Files with inputs; the whole corpus of the target if there is none
+        files: Vec<PathBuf>,
+    },
+    /// Prints the regions of each target's files that its corpus reaches, as a table
+    Cover {
+        /// The targets; all, unless some are named
+        targets: Vec<String>,
+    },
+    /// Plants each defect under fuzz/planted in a copy of the project and looks whether it is found
+    Planted {
+        /// Wall seconds for each defect, from an empty corpus
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Fuzzers at once for each defect
+        #[arg(long, default_value_t = 4)]
+        jobs: usize,
+        /// Defects by the names of their files; all, unless some are named
+        defects: Vec<String>,
+    },
+}
+
+type Done<T> = Result<T, String>;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace").to_path_buf()
+}
+
+fn chosen(names: &[String]) -> Done<Vec<&'static Target>> {
+    if names.is_empty() {
+        return Ok(TARGETS.iter().collect());
+    }
+    let known = |name: &String| hopwalk_fuzz::targets::target(name).ok_or(format!("no target '{name}'"));
+    names.iter().map(known).collect()
+}
+
+/// Builds the fuzzer of the project at `root`, in a folder that all copies share.
+fn build(root: &Path, into: &Path) -> Done<PathBuf> {
+    let status = Command::new("cargo")
+        .args(["build", "--quiet", "--locked", "--release", "-p", "hopwalk-fuzz", "--bin", "fuzzer"])
+        .args(["--target", TRIPLE])
+        .current_dir(root)
+        .env("RUSTFLAGS", FLAGS)
+        .env("CARGO_TARGET_DIR", into)
+        .env("CARGO_PROFILE_RELEASE_DEBUG", "1")
+        .env("CARGO_PROFILE_RELEASE_DEBUG_ASSERTIONS", "true")
+        .env("CARGO_PROFILE_RELEASE_OVERFLOW_CHECKS", "true")
+        .status()
+        .map_err(|e| format!("cargo: {e}"))?;
+    match status.success() {
+        true => Ok(into.join(TRIPLE).join("release/fuzzer")),
+        false => Err("the fuzzer does not build".to_string()),
+    }
+}
+
+/// How the fuzzer ended, and what it says of itself.
+struct Fuzzed {
+    found: bool,
+    runs: u64,
+    a_second: u64,
+    log: String,
+}
+
+/// Runs the fuzzer on a target; the first folder takes what is new.
+fn fuzz(
+    fuzzer: &Path,
+    target: &Target,
+    work: &Path,
+    folders: &[PathBuf],
+    options: &[String],
+) -> Done<Fuzzed> {
+    let e = |e: std::io::Error| format!("{}: {e}", target.name);
+    fs::create_dir_all(work).map_err(e)?;
+    for folder in folders {
+        fs::create_dir_all(folder).map_err(e)?;
+    }
+    let words = work.join(format!("{}.dict", target.name));
+    fs::write(&words, dictionary(target)).map_err(e)?;
+    let out = Command::new(fuzzer)
+        .env("HOPWALK_TARGET", target.name)
+        .arg(format!("-max_len={}", target.most_len))
+        .arg(format!("-artifact_prefix={}/{}-", work.display(), target.name))
+        .args(["-timeout=10", "-print_final_stats=1"])
+        // Comparisons guide the way through words and digits; state machines have enough to go by.
+        .arg(format!("-use_value_profile={}", u8::from(!target.words.is_empty())))
+        .args((!target.words.is_empty()).then(|| format!("-dict={}", words.display())))
+        .args(options)
+        .args(folders)
+        .stdin(Stdio::null())
+        .output()
+        .map_err(e)?;
+    let log = String::from_utf8_lossy(&out.stderr).into_owned();
+    let stat = |name: &str| {
+        let line = log.lines().find_map(|l| l.strip_prefix(name));
+        line.and_then(|l| l.trim().parse().ok()).unwrap_or(0)
+    };
+    let (runs, a_second) = (stat("stat::number_of_executed_units:"), stat("stat::average_exec_per_sec:"));
+    Ok(Fuzzed { found: !out.status.success(), runs, a_second, log })
+}
+
+fn dictionary(target: &Target) -> String {
+    let escaped = |word: &str| -> String {
+        word.bytes()
+            .map(|b| match b {
+                b'"' | b'\\' => format!("\\{}", b as char),
+                b' '..=b'~' => (b as char).to_string(),
+                _ => format!("\\x{b:02X}"),
+            })
+            .collect()
+    };
+    target.words.iter().map(|word| format!("\"{}\"\n", escaped(word))).collect()
+}
+
+/// What a failed run says of its cause: the panic's place and message.
+fn cause(log: &str) -> String {
+    let mut lines = log.lines().skip_while(|l| !l.contains("panicked at"));
+    match (lines.next(), lines.next()) {
+        (Some(place), what) => {
+            let place = place.split("panicked at").nth(1).unwrap_or("").trim();
+            format!("{place} {}", what.unwrap_or("").chars().take(120).collect::<String>())
+        }
+        _ => log.lines().find(|l| l.contains("ERROR: libFuzzer")).unwrap_or("no reason given").to_string(),
+    }
+}
+
+/// Does something for each target, some at once, in order of the targets.
+fn for_each<T: Send>(
+    targets: &[&'static Target],
+    jobs: usize,
+    work: impl Fn(&'static Target) -> T + Sync,
+) -> Vec<T> {
+    let next = Mutex::new(targets.iter().enumerate());
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| loop {
+                let taken = next.lock().unwrap_or_else(PoisonError::into_inner).next();
+                let Some((at, target)) = taken else { return };
+                let result = work(target);
+                done.lock().unwrap_or_else(PoisonError::into_inner).push((at, result));
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_else(PoisonError::into_inner);
+    done.sort_by_key(|(at, _)| *at);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+fn corpus(root: &Path, target: &Target) -> PathBuf {
+    root.join("fuzz/corpus").join(target.name)
+}
+
+fn run(seconds: u64, jobs: usize, names: &[String]) -> Done<bool> {
+    let (root, targets) = (root(), chosen(names)?);
+    let work = root.join("target/fuzz-work");
+    let fuzzer = build(&root, &root.join("target/fuzz"))?;
+    println!("| target | runs | a second | seconds | found |\n| --- | ---: | ---: | ---: | --- |");
+    let options = [format!("-max_total_time={seconds}")];
+    let ended = for_each(&targets, jobs, |target| {
+        let since = Instant::now();
+        let folders = [work.join(target.name), corpus(&root, target)];
+        let fuzzed = fuzz(&fuzzer, target, &work, &folders, &options)?;
+        let found = if fuzzed.found { cause(&fuzzed.log) } else { "nothing".to_string() };
+        let (name, took) = (target.name, since.elapsed().as_secs());
+        println!("| {name} | {} | {} | {took} | {found} |", fuzzed.runs, fuzzed.a_second);
+        Ok::<_, String>(fuzzed.found)
+    });
+    let found: Done<Vec<bool>> = ended.into_iter().collect();
+    Ok(!found?.contains(&true))
+}
+
+fn minimise(names: &[String]) -> Done<bool> {
+    let (root, targets) = (root(), chosen(names)?);
+    let work = root.join("target/fuzz-work");
+    let fuzzer = build(&root, &root.join("target/fuzz"))?;
+    let ended = for_each(&targets, 4, |target| {
+        let kept = corpus(&root, target);
+        let merged = work.join(format!("{}.merged", target.name));
+        let _ = fs::remove_dir_all(&merged);
+        let folders = [merged.clone(), kept.clone(), work.join(target.name)];
+        let done = fuzz(
+            &fuzzer,
+            target,
+            &work,
+            &folders,
+            &["-set_cover_merge=1", "-use_counters=0", "-use_value_profile=0"].map(str::to_string),
+        )?;
+        if done.found {
+            return Err(format!("{}: {}", target.name, cause(&done.log)));
+        }
+        let e = |e: std::io::Error| format!("{}: {e}", target.name);
+        let mut files: Vec<PathBuf> = fs::read_dir(&merged).map_err(e)?.flatten().map(|f| f.path()).collect();
+        files.sort_by_key(|f| (fs::metadata(f).map_or(0, |m| m.len()), f.clone()));
+        // Files with a name of their own are written by hand, or guard against what was found once.
+        let named = |f: &Path| f.file_name().is_some_and(|n| n.len() != 40);
+        for old in fs::read_dir(&kept).map_err(e)?.flatten().map(|f| f.path()).filter(|f| !named(f)) {
+            fs::remove_file(old).map_err(e)?;
+        }
+        for file in files.iter().take(MOST_FILES) {
+            let hash = file.file_name().ok_or("a file without a name")?;
+            fs::copy(file, kept.join(hash)).map_err(e)?;
+        }
+        println!(
+            "{}: {} files, {} beyond what is kept",
+            target.name,
+            files.len().min(MOST_FILES),
+            files.len().saturating_sub(MOST_FILES)
+        );
+        Ok(())
+    });
+    ended.into_iter().collect::<Done<Vec<()>>>().map(|_| true)
+}
+
+fn replay(name: &str, files: &[PathBuf]) -> Done<bool> {
+    let target = chosen(&[name.to_string()])?[0];
+    let mut files = files.to_vec();
+    if files.is_empty() {
+        let folder = corpus(&root(), target);
+        let listed = fs::read_dir(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        files = listed.flatten().map(|f| f.path()).collect();
+        files.sort();
+    }
+    for file in &files {
+        println!("{}", file.display());
+        (target.run)(&fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?);
+    }
+    println!("{} inputs", files.len());
+    Ok(true)
+}
+
+/// Regions of each file of the project: how many there are, and how many were reached.
+fn regions(fuzzer: &Path, cover: &Path) -> Done<BTreeMap<String, (usize, usize)>> {
+    let loader = addr2line::Loader::new(fuzzer).map_err(|e| format!("{}: {e}", fuzzer.display()))?;
+    let text = fs::read_to_string(cover).map_err(|e| format!("{}: {e}", cover.display()))?;
+    let root = root();
+    let mut files = BTreeMap::new();
+    for line in text.lines() {
+        let (at, reached) = line.split_once(' ').ok_or("a line without a mark")?;
+        let at = u64::from_str_radix(at, 16).map_err(|e| e.to_string())?;
+        // Code that was put inline belongs to the function of this project that it was put into.
+        let mut frames = loader.find_frames(at).map_err(|e| e.to_string())?;
+        while let Ok(Some(frame)) = frames.next() {
+            let file = frame.location.and_then(|l| l.file).unwrap_or("");
+            let file =
+                Path::new(file).strip_prefix(&root).unwrap_or(Path::new(file)).to_string_lossy().into_owned();
+            if file.starts_with("src/") {
+                let (all, seen) = files.entry(file).or_insert((0, 0));
+                *all += 1;
+                *seen += usize::from(reached == "1");
+                break;
+            }
+            if let Some(at) = file.find("/src/bin/hopwalk-adapter/") {
+                let (all, seen) = files.entry(file[at + 1..].to_string()).or_insert((0, 0));
+                *all += 1;
+                *seen += usize::from(reached == "1");
+                break;
+            }
+        }
+    }
+    Ok(files)
+}
+
+fn cover(names: &[String]) -> Done<bool> {
+    let (root, targets) = (root(), chosen(names)?);
+    let work = root.join("target/fuzz-work");
+    let fuzzer = build(&root, &root.join("target/fuzz"))?;
+    println!(
+        "| target | inputs | file | regions reached | of | % |\n| --- | ---: | --- | ---: | ---: | ---: |"
+    );
+    let rows = for_each(&targets, 4, |target| {
+        let (file, kept) = (work.join(format!("{}.cover", target.name)), corpus(&root, target));
+        let inputs = fs::read_dir(&kept).map_or(0, Iterator::count);
+        fs::create_dir_all(&work).map_err(|e| e.to_string())?;
+        let out = Command::new(&fuzzer)
+            .env("HOPWALK_TARGET", target.name)
+            .env("HOPWALK_COVER", &file)
+            .arg("-runs=0")
+            .arg(&kept)
+            .output()
+            .map_err(|e| e.to_string())?;
+        if !out.status.success() {
+            return Err(format!("{}: {}", target.name, cause(&String::from_utf8_lossy(&out.stderr))));
+        }
+        let files = regions(&fuzzer, &file)?;
+        let mut rows = String::new();
+        for file in target.files {
+            let (all, seen) = files.get(*file).copied().unwrap_or_default();
+            let share = seen as f64 * 100.0 / all.max(1) as f64;
+            let _ = writeln!(rows, "| {} | {inputs} | `{file}` | {seen} | {all} | {share:.0} |", target.name);
+        }
+        Ok(rows)
+    });
+    for row in rows {
+        print!("{}", row?);
+    }
+    Ok(true)
+}
+
+/// A defect: a patch whose first lines name the target that should find it, and what is wrong.
+struct Defect {
+    name: String,
+    patch: PathBuf,
+    target: &'static Target,
+    about: String,
+}
+
+fn defects(root: &Path, names: &[String]) -> Done<Vec<Defect>> {
+    let folder = root.join("fuzz/planted");
+    let listed = fs::read_dir(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut patches: Vec<_> =
+        listed.flatten().map(|f| f.path()).filter(|p| p.extension().is_some_and(|e| e == "patch")).collect();
+    patches.sort();
+    let mut all = Vec::new();
+    for patch in patches {
+        let text = fs::read_to_string(&patch).map_err(|e| e.to_string())?;
+        let name = patch.file_stem().map_or(String::new(), |n| n.to_string_lossy().into_owned());
+        let mut lines = text.lines();
+        let target =
+            lines.next().and_then(|l| l.strip_prefix("target: ")).ok_or(format!("{name}: no target"))?;
+        let about = lines.next().unwrap_or("").to_string();
+        let target = chosen(&[target.to_string()])?[0];
+        all.push(Defect { name, patch, target, about });
+    }
+    all.retain(|d| names.is_empty() || names.contains(&d.name));
+    Ok(all)
+}
+
+/// The files that git tracks, and new ones, in a folder of their own.
+fn copy_project(root: &Path, into: &Path) -> Done<()> {
+    let _ = fs::remove_dir_all(into);
+    let listed =
+        Command::new("git").args(["ls-files", "-co", "--exclude-standard"]).current_dir(root).output();
+    let listed = listed.map_err(|e| format!("git: {e}"))?;
+    for file in String::from_utf8_lossy(&listed.stdout).lines().filter(|f| !f.starts_with("journal/")) {
+        let to = into.join(file);
+        fs::create_dir_all(to.parent().expect("a folder")).map_err(|e| e.to_string())?;
+        fs::copy(root.join(file), to).map_err(|e| format!("{file}: {e}"))?;
+    }
+    Ok(())
+}
+
+fn planted(seconds: u64, jobs: usize, names: &[String]) -> Done<bool> {
+    let root = root();
+    let (copy, work) = (root.join("target/planted"), root.join("target/planted-work"));
+    println!("| defect | target | replay of the corpus | from nothing, s | what it is |\n| --- | --- | --- | ---: | --- |");
+    let mut missed = 0;
+    for defect in defects(&root, names)? {
+        copy_project(&root, &copy)?;
+        let applied = Command::new("git")
+            .arg("apply")
+            .arg(&defect.patch)
+            .current_dir(&copy)
+            .env("GIT_CEILING_DIRECTORIES", copy.parent().unwrap_or(&copy))
+            .status();
+        if !applied.is_ok_and(|s| s.success()) {
+            return Err(format!("{}: the patch does not apply any more", defect.name));
+        }
+        let fuzzer = build(&copy, &root.join("target/planted-build"))?;
+        let kept = corpus(&root, defect.target);
+        let replayed = fuzz(&fuzzer, defect.target, &work, &[kept], &["-runs=0".to_string()])?;
+        let since = Instant::now();
+        let found_after: Mutex<Option<Duration>> = Mutex::new(None);
+        std::thread::scope(|scope| {
+            for job in 0..jobs {
+                let (fuzzer, work, defect, found_after) = (&fuzzer, &work, &defect, &found_after);
+                scope.spawn(move || {
+                    let folder = work.join(format!("{}-{job}", defect.name));
+                    let _ = fs::remove_dir_all(&folder);
+                    // Short turns, so that all stop soon after one has found it.
+                    for turn in 0.. {
+                        let left = Duration::from_secs(seconds).saturating_sub(since.elapsed()).as_secs();
+                        let over = found_after.lock().unwrap_or_else(PoisonError::into_inner).is_some();
+                        if left == 0 || over {
+                            return;
+                        }
+                        let options = [
+                            format!("-max_total_time={}", left.min(5)),
+                            format!("-seed={}", 1 + job * 1000 + turn),
+                        ];
+                        if fuzz(fuzzer, defect.target, work, std::slice::from_ref(&folder), &options)
+                            .is_ok_and(|f| f.found)
+                        {
+                            let mut first = found_after.lock().unwrap_or_else(PoisonError::into_inner);
+                            first.get_or_insert(since.elapsed());
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        let after = found_after.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let shown = after.map_or("not found".to_string(), |t| format!("{:.1}", t.as_secs_f64()));
+        let by_replay = if replayed.found { "found" } else { "not found" };
+        println!("| {} | {} | {by_replay} | {shown} | {} |", defect.name, defect.target.name, defect.about);
+        missed += usize::from(after.is_none() && !replayed.found);
+    }
+    println!("\n{missed} not found at all");
+    Ok(missed == 0)
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().what {
+        What::List => {
+            for target in TARGETS {
+                println!("{:12} {}", target.name, target.about);
+            }
+            Ok(true)
+        }
+        What::Run { seconds, jobs, targets } => run(seconds, jobs, &targets),
+        What::Minimise { targets } => minimise(&targets),
+        What::Replay { target, files } => replay(&target, &files),
+        What::Cover { targets } => cover(&targets),
+        What::Planted { seconds, jobs, defects } => planted(seconds, jobs, &defects),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("hopwalk-fuzz: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/fuzz/src/targets/codecs.rs
@@ -0,0 +1,208 @@
+//! Lines and whole answers: the agent, the vault, services, the other version, the console.
+
+use std::fmt::Debug;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hopwalk::console::{self, Word as ConsoleWord};
+use hopwalk::core::{End, Notice, Succession};
+use hopwalk::json;
+use hopwalk::net::agent::{self, next_notice};
+use hopwalk::net::handover::{self, Heard, Word};
+use hopwalk::net::lines::{Lines, MOST};
+use hopwalk::net::scgi::parse_response;
+use hopwalk::net::vault::Replies;
+use tinyjson::JsonValue;
+
+use crate::alloc::most_held;
+
+/// What was read up to the end or an error, and the bytes that were looked at.
+type Read<T> = (Vec<T>, Option<String>, u64);
+
+/// Reads all that `next` finds in lines that come in pieces.
+fn read<'a, T, E: Debug>(
+    most: usize,
+    pieces: impl IntoIterator<Item = &'a [u8]>,
+    mut next: impl FnMut(&mut Lines) -> Result<Option<T>, E>,
+) -> Read<T> {
+    let mut lines = Lines::new(most);
+    let mut all = Vec::new();
+    for piece in pieces {
+        lines.room().extend_from_slice(piece);
+        loop {
+            match next(&mut lines) {
+                Ok(Some(one)) => all.push(one),
+                Ok(None) => break,
+                Err(e) => return (all, Some(format!("{e:?}")), lines.work()),
+            }
+        }
+    }
+    (all, None, lines.work())
+}
+
+/// However the bytes are cut, the same is read, at a cost that grows with their length alone.
+fn in_pieces<T: Debug>(bytes: &[u8], read: impl Fn(&mut dyn Iterator<Item = &[u8]>) -> Read<T>) -> Vec<T> {
+    let ((whole, bad, _), held) = most_held(|| read(&mut [bytes].into_iter()));
+    assert!(held <= 64 * bytes.len() + 16_384, "{held} bytes held for {} read", bytes.len());
+    let shown = format!("{whole:?} {bad:?}");
+    let check = |pieces: &mut dyn Iterator<Item = &[u8]>| {
+        let (read, bad, work) = read(pieces);
+        assert_eq!(format!("{read:?} {bad:?}"), shown);
+        assert!(work <= 6 * bytes.len() as u64 + 64, "{work} looked at for {} bytes", bytes.len());
+    };
+    check(&mut bytes.chunks(1));
+    for at in (1..bytes.len()).step_by(bytes.len() / 48 + 1) {
+        check(&mut [&bytes[..at], &bytes[at..]].into_iter());
+    }
+    whole
+}
+
+/// Answers of SCGI services: what says how long it is cannot be cut short unseen.
+pub fn scgi_answer(bytes: &[u8]) {
+    let ((end, body), held) = most_held(|| parse_response(bytes));
+    assert!(held <= 2 * bytes.len() + 1024);
+    assert_eq!(end == End::Complete, body.is_some());
+    let Some(body) = body else { return };
+    assert!(bytes.ends_with(&body));
+    let head = String::from_utf8_lossy(&bytes[..bytes.len() - body.len()]).to_ascii_lowercase();
+    if head.lines().any(|line| line.split(':').next().is_some_and(|name| name.trim() == "content-length")) {
+        for len in 0..bytes.len() {
+            assert_ne!(parse_response(&bytes[..len]).0, End::Complete, "cut after {len} bytes");
+        }
+    }
+}
+
+/// The agent's notices: each numbered one is told once, whatever breaks and comes again.
+pub fn notices(bytes: &[u8]) {
+    let all = in_pieces(bytes, |pieces| {
+        let cursor = AtomicU64::new(0);
+        read(MOST, pieces, |lines| next_notice(lines, &cursor))
+    });
+    for notice in &all {
+        plausible(notice);
+    }
+    for line in String::from_utf8_lossy(bytes).lines() {
+        if let Ok(value) = json::parse(line) {
+            assert!(depth(&value) <= json::MOST_DEPTH, "deeper than the stack of a link may hold");
+        }
+    }
+    let numbered = |notices: &[Notice]| {
+        let told = notices.iter().filter(|n| matches!(n, Notice::Outcome { .. } | Notice::CallNeeded { .. }));
+        told.map(|n| format!("{n:?}")).collect::<Vec<_>>()
+    };
+    // A link that breaks anywhere, and one behind it on which all is told again.
+    for at in (0..=bytes.len()).step_by(bytes.len() / 32 + 1) {
+        let cursor = AtomicU64::new(0);
+        let (before, bad, _) = read(MOST, [&bytes[..at]], |lines| next_notice(lines, &cursor));
+        if bad.is_some() {
+            break;
+        }
+        let (after, _, _) = read(MOST, [bytes], |lines| next_notice(lines, &cursor));
+        let unnumbered = |n: &&Notice| matches!(n, Notice::Outcome { .. });
+        // Outcomes without a number cannot be told apart from new ones; numbered ones come once.
+        if before.iter().chain(&after).filter(unnumbered).count() == all.iter().filter(unnumbered).count() {
+            assert_eq!(numbered(&[before, after].concat()), numbered(&all), "broken after {at} bytes");
+        }
+    }
+    // Each command is one line that any reader of JSON takes.
+    for notice in all {
+        if let Notice::CallNeeded { handle, body, .. } = notice {
+            let mut out = String::new();
+            agent::encode(&hopwalk::core::Command::Deliver { handle, arg: body }, &mut out);
+            assert!(out.ends_with('\n') && out.matches('\n').count() == 1 && json::parse(&out).is_ok());
+        }
+    }
+}
+
+/// What the reducer may be told: figures within reason, or its sums of times overflow.
+fn plausible(notice: &Notice) {
+    let day = Duration::from_secs(86_400);
+    match notice {
+        Notice::Greeting { lasted, .. } => assert!(*lasted <= 400 * day, "{notice:?}"),
+        Notice::Outcome { lasted: Some(lasted), .. } => assert!(*lasted <= day, "{notice:?}"),
+        Notice::CallNeeded { cursor, .. } => assert!(*cursor > 0 && *cursor < 1 << 53, "{notice:?}"),
+        Notice::Sampled { figures, .. } => assert!(figures.iter().all(|f| f.is_finite()), "{notice:?}"),
+        _ => {}
+    }
+}
+
+/// The vault's replies.
+pub fn replies(bytes: &[u8]) {
+    let all = in_pieces(bytes, |pieces| {
+        let mut replies = Replies::default();
+        read(MOST, pieces, |lines| replies.next_reply(lines))
+    });
+    for (_, end, body) in &all {
+        assert_eq!(*end == End::Complete, body.is_some());
+    }
+    // What was read is what the bytes say, one reply behind the other.
+    let mut rest = bytes;
+    for (whose, end, body) in &all {
+        let at = rest.iter().position(|b| *b == b'\n').expect("a line");
+        let line = std::str::from_utf8(&rest[..at]).unwrap().trim_end_matches('\r');
+        let words: Vec<&str> = line.split(' ').collect();
+        assert_eq!(words[0], whose.to_string());
+        rest = &rest[at + 1..];
+        match (words[1], body) {
+            ("yes", Some(body)) => {
+                assert_eq!(words[2].trim_start_matches('+').parse::<usize>().unwrap(), body.len());
+                assert!(rest.starts_with(body), "another body");
+                let end = &rest[body.len()..];
+                assert!(end.starts_with(b"\n") || end.starts_with(b"\r\n"), "a body that does not end");
+                rest = &end[end.iter().position(|b| *b == b'\n').unwrap() + 1..];
+            }
+            (word, None) => assert_eq!(word, end.word()),
+            (word, Some(_)) => panic!("a body behind '{word}'"),
+        }
+    }
+}
+
+/// How deep a document is that was read.
+fn depth(value: &JsonValue) -> usize {
+    let of = |values: &mut dyn Iterator<Item = &JsonValue>| 1 + values.map(depth).max().unwrap_or(0);
+    match value {
+        JsonValue::Array(items) => of(&mut items.iter()),
+        JsonValue::Object(members) => of(&mut members.values()),
+        _ => 0,
+    }
+}
+
+/// What two versions tell each other: what is understood is said again in the same words.
+pub fn handover(bytes: &[u8]) {
+    let parse = |lines: &mut Lines| match lines.line() {
+        Ok(Some(line)) => handover::parse(&line).map(|heard| Some((line, heard))).ok_or(End::Malformed),
+        Ok(None) => Ok(None),
+        Err(end) => Err(end),
+    };
+    for (_, heard) in in_pieces(bytes, |pieces| read(MOST, pieces, parse)) {
+        let word = match heard.clone() {
+            Heard::Request(request) => Word::Request(request),
+            Heard::Word(Succession::Key(key)) => Word::Keys(vec![key], false),
+            Heard::Word(Succession::Complete { standby }) => Word::Keys(Vec::new(), standby),
+            Heard::Word(Succession::Settled { key, ran, result }) => Word::Settled(key, ran, result),
+            Heard::Word(Succession::Answered { conn, answer }) => Word::Answer(conn, Arc::new(answer)),
+            Heard::Word(_) => Word::Begin,
+        };
+        let lines = word.lines();
+        let again = handover::parse(lines[0].trim_end_matches('\n'));
+        assert_eq!(format!("{again:?}"), format!("{:?}", Some(heard)), "{lines:?}");
+    }
+}
+
+/// Words at the console: one word a line, and an answer ends where its empty line is.
+pub fn console(bytes: &[u8]) {
+    let words = in_pieces(bytes, |pieces| {
+        read(256, pieces, |lines| lines.line().map(|line| line.map(|line| ConsoleWord::parse(&line))))
+    });
+    assert!(words.len() <= bytes.iter().filter(|b| **b == b'\n').count());
+    // The words a strict reader finds: whole lines of at most 256 bytes, up to the first that is longer.
+    let lines = bytes.split_inclusive(|b| *b == b'\n').take_while(|l| l.len() <= 257 && l.ends_with(b"\n"));
+    let drains = lines.filter(|l| l.trim_ascii() == b"drain").count();
+    assert!(words.iter().filter(|w| **w == ConsoleWord::Drain).count() <= drains);
+    let text = String::from_utf8_lossy(bytes);
+    let (name, value) = text.split_once('=').unwrap_or(("name", &text));
+    let name = name.split('\n').next().filter(|n| !n.trim().is_empty()).unwrap_or("name");
+    let out = console::encode(&[(name.to_string(), value.to_string()), ("b".to_string(), "c".to_string())]);
+    assert!(out.ends_with("b: c\n\n") && out.find("\n\n") == Some(out.len() - 2), "{out:?}");
+}
--- a/src/acme/client.rs
+++ b/src/acme/client.rs
@@ -1,16 +1,15 @@
 //! One order at an ACME authority, from the account to the certificate.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tinyjson::JsonValue;
 use tracing::debug;
 use ureq::tls::{parse_pem, PemItem, RootCerts, TlsConfig};
 
 use super::challenge::Responder;
 use super::jws::{encode, quote, AccountKey};
 use super::store::Store;
+use super::wire::{retry_after, Directory, Object};
 use crate::settings::Acme;
 
 /// One exchange with the authority takes no longer.
@@ -35,31 +34,7 @@
 
 impl Answer {
     fn json(&self) -> Result<Object, String> {
-        let json = self.body.parse::<JsonValue>().map_err(|e| format!("the authority sent no JSON: {e}"))?;
-        match json {
-            JsonValue::Object(members) => Ok(Object(members)),
-            _ => Err("the authority sent no JSON object".to_string()),
-        }
-    }
-}
-
-/// A JSON object of the authority.
-struct Object(HashMap<String, JsonValue>);
-
-impl Object {
-    fn text(&self, key: &str) -> Result<&str, String> {
-        let text = self.0.get(key).and_then(|v| v.get::<String>());
-        text.map(String::as_str).ok_or_else(|| format!("the authority's answer lacks '{key}'"))
-    }
-
-    fn list(&self, key: &str) -> &[JsonValue] {
-        self.0.get(key).and_then(|v| v.get::<Vec<JsonValue>>()).map_or(&[], Vec::as_slice)
-    }
-
-    /// What went wrong, as the authority words it.
-    fn problem(&self) -> String {
-        let text = |key| self.text(key).unwrap_or_default();
-        format!("{} {}", text("type"), text("detail")).trim().to_string()
+        Object::parse(&self.body)
     }
 }
 
@@ -104,29 +79,28 @@
     /// Orders a certificate; returns its key and chain in PEM.
     pub(super) fn order(&self, settings: &Acme, store: &Store) -> Result<String, String> {
         let key = AccountKey::from_pkcs8(&store.account(AccountKey::generate)?)?;
-        let directory = self.get(&settings.directory)?.json()?;
+        let directory = Directory::of(&self.get(&settings.directory)?.json()?)?;
         let until = Instant::now() + ORDER_PATIENCE;
-        let new_nonce = directory.text("newNonce")?.to_string();
+        let new_nonce = directory.new_nonce;
         let mut session = Session { client: self, key, kid: None, new_nonce, nonce: None, until };
 
         let contact =
             settings.contact.as_ref().map_or(String::new(), |c| format!(r#""contact":[{}],"#, quote(c)));
         let account = format!(r#"{{{contact}"termsOfServiceAgreed":true}}"#);
-        let account = session.post(directory.text("newAccount")?, &account)?;
+        let account = session.post(&directory.new_account, &account)?;
         session.kid = Some(account.location.ok_or("the authority names no account")?);
 
         let names: Vec<_> =
             settings.domains.iter().map(|d| format!(r#"{{"type":"dns","value":{}}}"#, quote(d))).collect();
         let order = format!(r#"{{"identifiers":[{}]}}"#, names.join(","));
-        let order = session.post(directory.text("newOrder")?, &order)?;
+        let order = session.post(&directory.new_order, &order)?;
         let at = order.location.clone().ok_or("the authority names no order")?;
         let order = order.json()?;
 
         let responder = Responder::start(settings.challenge_listen)
             .map_err(|e| format!("challenge_listen: {}: {e}", settings.challenge_listen))?;
-        for authorization in order.list("authorizations") {
-            let url = authorization.get::<String>().ok_or("an authorization has no address")?;
-            session.authorize(url, &responder)?;
+        for url in order.urls("authorizations")? {
+            session.authorize(&url, &responder)?;
         }
         drop(responder);
 
@@ -161,7 +135,7 @@
         value.map(str::to_string)
     };
     let (location, nonce) = (field("location"), field("replay-nonce"));
-    let retry_after = field("retry-after").and_then(|s| s.parse().ok()).map(Duration::from_secs);
+    let retry_after = field("retry-after").and_then(|s| retry_after(&s));
     let body = response.body_mut().with_config().limit(MOST_BODY).read_to_string();
     let body = body.map_err(|e| format!("{url}: {e}"))?;
     Ok(Answer { status: response.status().as_u16(), location, nonce, retry_after, body })
@@ -219,7 +193,7 @@
                 return Ok(json);
             }
             if !matches!(status, "pending" | "processing" | "ready") {
-                return Err(failure(status, &json));
+                return Err(json.failure(status));
             }
             std::thread::sleep(answer.retry_after.unwrap_or(wait).min(POLL.1));
             wait = (wait * 2).min(POLL.1);
@@ -231,35 +205,9 @@
         if authorization.text("status")? == "valid" {
             return Ok(());
         }
-        let is_http = |c: &&JsonValue| match c {
-            JsonValue::Object(c) => {
-                c.get("type").and_then(|t| t.get::<String>()).is_some_and(|t| t == "http-01")
-            }
-            _ => false,
-        };
-        let challenge = authorization.list("challenges").iter().find(is_http);
-        let Some(JsonValue::Object(challenge)) = challenge else {
-            return Err("the authority offers no http-01 challenge".to_string());
-        };
-        let challenge = Object(challenge.clone());
-        let token = challenge.text("token")?;
-        responder.put(token, self.key.authorization(token));
-        self.post(challenge.text("url")?, "{}")?;
+        let challenge = authorization.http_challenge()?;
+        responder.put(&challenge.token, self.key.authorization(&challenge.token));
+        self.post(&challenge.url, "{}")?;
         self.poll(url, |status| status == "valid").map(drop)
     }
 }
-
-/// Why an authorization or an order failed; an authorization words it in its challenges.
-fn failure(status: &str, json: &Object) -> String {
-    let of = |value: &JsonValue| match value {
-        JsonValue::Object(members) => Some(Object(members.clone()).problem()),
-        _ => None,
-    };
-    let of_challenge = |value: &JsonValue| match value {
-        JsonValue::Object(members) => members.get("error").and_then(of),
-        _ => None,
-    };
-    let why = json.0.get("error").and_then(of);
-    let why = why.or_else(|| json.list("challenges").iter().find_map(of_challenge));
-    format!("the authority says '{status}': {}", why.unwrap_or_default())
-}
--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod jws;
 mod store;
+pub mod wire;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime};
--- a/src/console.rs
+++ b/src/console.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is one line with one word; an answer is lines, ended by an empty one.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
@@ -12,6 +12,8 @@
 use tracing::{info, warn};
 
 use crate::core::Query;
+use crate::net::front::read_some;
+use crate::net::lines::Lines;
 use crate::net::Handle;
 use crate::settings::Config;
 
@@ -20,7 +22,7 @@
 /// The program answers within this time, or is taken to hang.
 const ANSWER_PATIENCE: Duration = Duration::from_secs(5);
 /// The longest line that a client may send.
-const MOST_LINE: u64 = 256;
+const MOST_LINE: usize = 256;
 /// Clients served at once.
 const MOST_CLIENTS: usize = 4;
 /// What can be asked.
@@ -59,7 +61,7 @@
             let certificate = certificate.clone();
             std::thread::spawn(move || {
                 let _client = client;
-                let answer = |word: &str| answer(word, &settings, &handle, &certificate);
+                let answer = |word: &Word| answer(word, &settings, &handle, &certificate);
                 if let Err(e) = serve(stream, answer) {
                     warn!("a console client was let go: {e}");
                 }
@@ -69,32 +71,75 @@
     Ok(())
 }
 
-fn serve(stream: UnixStream, answer: impl Fn(&str) -> Vec<(String, String)>) -> io::Result<()> {
+fn serve(stream: UnixStream, answer: impl Fn(&Word) -> Vec<(String, String)>) -> io::Result<()> {
     stream.set_read_timeout(Some(CLIENT_PATIENCE))?;
     stream.set_write_timeout(Some(CLIENT_PATIENCE))?;
-    let mut writes = stream.try_clone()?;
-    let mut reads = BufReader::new(stream);
+    let mut lines = Lines::new(MOST_LINE);
     loop {
-        let mut line = String::new();
-        if reads.by_ref().take(MOST_LINE).read_line(&mut line)? == 0 {
+        // A line that is too long is no word: neither its start nor its end is carried out.
+        let line = match lines.line() {
+            Ok(Some(line)) => line,
+            Ok(None) if read_some(&mut (&stream), lines.room())? > 0 => continue,
+            Ok(None) => return Ok(()),
+            Err(_) => return (&stream).write_all(b"error: the line is too long, or no text\n\n"),
+        };
+        let word = Word::parse(&line);
+        if word == Word::Quit {
             return Ok(());
         }
-        let word = line.trim();
-        if word == "quit" {
-            return Ok(());
-        }
-        let mut out = String::new();
-        for (name, value) in answer(word) {
-            // An empty line would end the answer early.
-            let value = value.replace('\n', " ");
-            out += &if value.is_empty() { format!("{name}\n") } else { format!("{name}: {value}\n") };
+        (&stream).write_all(encode(&answer(&word)).as_bytes())?;
+    }
+}
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// How things are.
+    Status,
+    /// What was counted.
+    Counters,
+    /// The configuration.
+    Settings,
+    /// The state of the certificate.
+    Certificate,
+    /// Begin to leave.
+    Drain,
+    /// What can be asked.
+    Help,
+    /// The end of the talk.
+    Quit,
+    /// None of these.
+    Other(String),
+}
+
+impl Word {
+    /// Reads a line.
+    pub fn parse(line: &str) -> Self {
+        match line.trim_ascii() {
+            "status" => Self::Status,
+            "counters" => Self::Counters,
+            "settings" => Self::Settings,
+            "certificate" => Self::Certificate,
+            "drain" => Self::Drain,
+            "" | "help" => Self::Help,
+            "quit" => Self::Quit,
+            other => Self::Other(other.to_string()),
         }
-        writes.write_all((out + "\n").as_bytes())?;
     }
 }
 
+/// An answer in lines, ended by an empty one. What stands in a value cannot end it early.
+pub fn encode(answer: &[(String, String)]) -> String {
+    let mut out = String::new();
+    for (name, value) in answer {
+        let value = value.replace(['\n', '\r'], " ");
+        out += &if value.is_empty() { format!("{name}\n") } else { format!("{name}: {value}\n") };
+    }
+    out + "\n"
+}
+
 fn answer(
-    word: &str,
+    word: &Word,
     settings: &[(String, String)],
     handle: &Handle,
     certificate: &CertificateState,
@@ -105,16 +150,16 @@
     };
     let line = |name: &str, value: &str| vec![(name.to_string(), value.to_string())];
     match word {
-        "status" => asked(Query::Status),
-        "counters" => asked(Query::Counters),
-        "settings" => settings.to_vec(),
-        "certificate" => certificate(),
-        "drain" => {
+        Word::Status => asked(Query::Status),
+        Word::Counters => asked(Query::Counters),
+        Word::Settings => settings.to_vec(),
+        Word::Certificate => certificate(),
+        Word::Drain => {
             handle.drain();
             line("drain", "begun")
         }
-        "" | "help" => line("commands", COMMANDS),
-        other => line("error", &format!("'{other}' is none of {COMMANDS}")),
+        Word::Help | Word::Quit => line("commands", COMMANDS),
+        Word::Other(other) => line("error", &format!("'{other}' is none of {COMMANDS}")),
     }
 }
 
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -45,36 +45,53 @@
 }
 
 /// A digest of what a key stands for.
-pub(super) fn digest(class: &str, body: &[u8]) -> u64 {
+pub fn digest(class: &str, body: &[u8]) -> u64 {
     // The same in every version of the program: a process compares with what the one before it noted.
     let mut digest = Context::new(&SHA256);
     [class.as_bytes(), &[0], body].iter().for_each(|part| digest.update(part));
     digest.finish().as_ref()[..8].iter().fold(0, |all, byte| all << 8 | u64::from(*byte))
 }
 
+/// Bytes of the result that is kept of a run.
+fn kept(ran: Option<&Ran>) -> usize {
+    ran.and_then(|r| r.result.as_ref()).map_or(0, |r| r.len())
+}
+
 /// All remembered keys.
 #[derive(Debug, Default)]
-pub(super) struct Keys {
+pub struct Keys {
     entries: HashMap<Key, Entry>,
     result_bytes: usize,
 }
 
 impl Keys {
-    pub(super) fn has_room_for(&self, key: &Key) -> bool {
+    /// Its key is known, or there is room for one more.
+    pub fn has_room_for(&self, key: &Key) -> bool {
         self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
     }
 
     /// The key stands for something else: no try of what `what` is the digest of.
-    pub(super) fn is_taken(&self, key: &Key, what: u64) -> bool {
+    pub fn is_taken(&self, key: &Key, what: u64) -> bool {
         self.entries.get(key).is_some_and(|e| e.what != what)
     }
 
-    pub(super) fn len(&self) -> usize {
+    /// Keys that are remembered.
+    pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// None is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of the results that are kept.
+    pub fn result_bytes(&self) -> usize {
+        self.result_bytes
+    }
+
     /// Notes a try that reached the machine at `start`, and names the one that it repeats.
-    pub(super) fn arrived(
+    pub fn arrived(
         &mut self,
         key: &Key,
         id: RequestId,
@@ -91,51 +108,55 @@
         ran.or(holder).or(other)
     }
 
-    pub(super) fn remember(&mut self, key: &Key, id: RequestId, until: Duration) {
+    /// Has a try stand for its key until a time.
+    pub fn remember(&mut self, key: &Key, id: RequestId, until: Duration) {
         if let Some(e) = self.entries.get_mut(key) {
             e.holder = Some((id, until));
         }
     }
 
     /// Frees an entry, unless its run may have had its effect.
-    pub(super) fn forget(&mut self, key: &Key, id: RequestId) {
+    pub fn forget(&mut self, key: &Key, id: RequestId) {
         if let Some(e) = self.entries.get_mut(key) {
             e.holder = e.holder.filter(|(holder, _)| *holder != id);
         }
     }
 
     /// Notes that a try is run now; false where another one has been, and this one came within its window.
-    pub(super) fn start(&mut self, key: &Key, id: RequestId) -> bool {
+    pub fn start(&mut self, key: &Key, id: RequestId) -> bool {
         let Some(e) = self.entries.get_mut(key) else { return false };
         let Some(&Try { start, until, .. }) = e.tries.iter().find(|t| t.id == id) else { return false };
         if e.ran.as_ref().is_some_and(|r| r.id == id || start <= r.until) {
             return false;
         }
         let before = e.ran.replace(Ran { id, until, result: None });
-        self.result_bytes -= before.and_then(|r| r.result).map_or(0, |r| r.len());
+        self.result_bytes -= kept(before.as_ref());
         true
     }
 
-    pub(super) fn ended(&mut self, key: &Key, id: RequestId, result: Option<Bytes>) {
+    /// The run of a try is over, with this result.
+    pub fn ended(&mut self, key: &Key, id: RequestId, result: Option<Bytes>) {
         let Some(ran) = self.entries.get_mut(key).and_then(|e| e.ran.as_mut()).filter(|r| r.id == id) else {
             return;
         };
-        self.result_bytes += result.as_ref().map_or(0, |r| r.len());
+        self.result_bytes -= kept(Some(ran));
         ran.result = result;
+        self.result_bytes += kept(Some(ran));
         if self.result_bytes > MOST_RESULT_BYTES {
             self.drop_results();
         }
     }
 
     /// The run of a try is proven not to have begun.
-    pub(super) fn never_ran(&mut self, key: &Key, id: RequestId) {
-        if let Some(e) = self.entries.get_mut(key) {
-            e.ran = e.ran.take().filter(|r| r.id != id);
+    pub fn never_ran(&mut self, key: &Key, id: RequestId) {
+        let Some(e) = self.entries.get_mut(key) else { return };
+        if let Some(ran) = e.ran.take_if(|r| r.id == id) {
+            self.result_bytes -= kept(Some(&ran));
         }
     }
 
     /// A try is answered and over.
-    pub(super) fn left(&mut self, key: &Key, id: RequestId) {
+    pub fn left(&mut self, key: &Key, id: RequestId) {
         let Some(e) = self.entries.get_mut(key) else { return };
         e.tries.retain(|t| t.id != id);
         if e.ran.is_none() {
@@ -147,12 +168,12 @@
     }
 
     /// Tries of it are still here.
-    pub(super) fn is_open(&self, key: &Key) -> bool {
+    pub fn is_open(&self, key: &Key) -> bool {
         self.entries.get(key).is_some_and(|e| !e.tries.is_empty())
     }
 
     /// All keys of which another try may come, for the process that takes over.
-    pub(super) fn all(&self) -> Vec<KeyState> {
+    pub fn all(&self) -> Vec<KeyState> {
         let state = |(key, e): (&Key, &Entry)| {
             let until = e.ran.iter().map(|r| r.until).chain(e.tries.iter().map(|t| t.until)).max()?;
             let result = e.ran.as_ref().and_then(|r| r.result.clone());
@@ -162,29 +183,32 @@
     }
 
     /// Takes a key over; `id` stands for the run in the other process, until it is known that there was none.
-    pub(super) fn inherit(&mut self, state: KeyState, id: RequestId) {
+    pub fn inherit(&mut self, state: KeyState, id: RequestId) {
         let KeyState { key, what, until, result, .. } = state;
         let ran = Some(Ran { id, until, result: None });
-        self.entries.insert(key.clone(), Entry { what, ran, ..Entry::default() });
+        let before = self.entries.insert(key.clone(), Entry { what, ran, ..Entry::default() });
+        self.result_bytes -= before.map_or(0, |e| kept(e.ran.as_ref()));
         self.ended(&key, id, result);
     }
 
-    pub(super) fn ran(&self, key: &Key) -> Option<RequestId> {
+    /// The try that ran.
+    pub fn ran(&self, key: &Key) -> Option<RequestId> {
         self.entries.get(key)?.ran.as_ref().map(|r| r.id)
     }
 
-    pub(super) fn result(&self, key: &Key) -> Option<Bytes> {
+    /// What its run made.
+    pub fn result(&self, key: &Key) -> Option<Bytes> {
         self.entries.get(key)?.ran.as_ref()?.result.clone()
     }
 
     /// Forgets what nothing can repeat any more.
-    pub(super) fn sweep(&mut self, now: Duration) {
+    pub fn sweep(&mut self, now: Duration) {
         let freed = &mut self.result_bytes;
         self.entries.retain(|_, e| {
             let ran = e.ran.as_ref().is_some_and(|r| now <= r.until);
             let keep = ran || !e.tries.is_empty();
             if !keep {
-                *freed -= e.ran.as_ref().and_then(|r| r.result.as_ref()).map_or(0, |r| r.len());
+                *freed -= kept(e.ran.as_ref());
             }
             keep
         });
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,7 +6,7 @@
 
 mod counters;
 mod end;
-mod keys;
+pub mod keys;
 mod succession;
 mod types;
 
@@ -595,6 +595,8 @@
             ("running", in_phase(Phase::Running)),
             ("at_call", in_phase(Phase::AtCall)),
             ("joined", in_phase(Phase::Joined)),
+            ("passed_on", self.partner.passed_on.len().to_string()),
+            ("awaited", self.partner.awaited().to_string()),
             ("keys", self.keys.len().to_string()),
             ("classes", self.site.class_names.len().to_string()),
             ("timers", self.timers.len().to_string()),
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -17,6 +17,8 @@
 pub(super) struct Partner {
     /// Requests here that wait for a run of the old process, by the id that stands for it.
     waits: HashMap<RequestId, Vec<RequestId>>,
+    /// The keys of these runs. The table of keys may forget one before the old process tells of its end.
+    open: HashMap<Key, RequestId>,
     /// A new process decides: what comes is passed on to it.
     pub(super) yields: bool,
     /// Connections whose request was passed on and not answered yet.
@@ -25,6 +27,13 @@
     barred_until: Duration,
 }
 
+impl Partner {
+    /// Runs of the old process that it has not told the end of.
+    pub(super) fn awaited(&self) -> usize {
+        self.waits.len()
+    }
+}
+
 impl Core {
     pub(super) fn succession(&mut self, now: Duration, word: Succession) {
         match word {
@@ -32,6 +41,9 @@
                 let id = self.new_id();
                 if state.open {
                     self.partner.waits.insert(id, Vec::new());
+                    if let Some(before) = self.partner.open.insert(state.key.clone(), id) {
+                        self.partner.waits.remove(&before);
+                    }
                 }
                 self.keys.inherit(state, id);
             }
@@ -43,6 +55,7 @@
             Succession::Settled { key, ran, result } => self.settled(now, &key, ran, result),
             Succession::PredecessorGone => {
                 // What it had open has ended, nobody knows how: the keys stay taken.
+                self.partner.open.clear();
                 let mut waiters: Vec<_> =
                     self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
                 waiters.sort_unstable();
@@ -114,7 +127,7 @@
     }
 
     fn settled(&mut self, now: Duration, key: &Key, ran: bool, result: Option<Bytes>) {
-        let Some(run) = self.keys.ran(key) else { return };
+        let Some(run) = self.partner.open.remove(key) else { return };
         let Some(waiters) = self.partner.waits.remove(&run) else { return };
         match ran {
             true => self.keys.ended(key, run, result.clone()),
--- /dev/null
+++ b/src/json.rs
@@ -0,0 +1,65 @@
+//! JSON off files and links, within a depth.
+//!
+//! The reader underneath calls itself for each list or object that it enters. What reads a link has a stack of
+//! 64 KiB, and a line of brackets would overrun it; so a document is measured before it is read.
+
+use tinyjson::JsonValue;
+
+/// Lists and objects that may be open at once. Nothing that is read here has more than six.
+pub const MOST_DEPTH: usize = 32;
+
+/// Reads a document. Fails where it is none, or is deeper than [`MOST_DEPTH`].
+pub fn parse(text: &str) -> Result<JsonValue, String> {
+    if depth(text) > MOST_DEPTH {
+        return Err(format!("it is more than {MOST_DEPTH} lists and objects deep"));
+    }
+    // The reader shows what it has read so far, in no fixed order and at any length: the place will do.
+    let place =
+        |e: tinyjson::JsonParseError| e.to_string().split(": ").next().unwrap_or_default().to_string();
+    text.parse().map_err(place)
+}
+
+/// The most lists and objects that are open at once, brackets within strings left out. What is no JSON is
+/// never deeper for the reader than it is here: it stops at the first mistake.
+fn depth(text: &str) -> usize {
+    let (mut open, mut most) = (0usize, 0);
+    let (mut quoted, mut escaped) = (false, false);
+    for byte in text.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            b'[' | b'{' if !quoted => {
+                open += 1;
+                most = most.max(open);
+            }
+            b']' | b'}' if !quoted => open = open.saturating_sub(1),
+            _ => {}
+        }
+    }
+    most
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_error_tells_the_place_and_not_what_was_read() {
+        let text = format!(r#"{{"a":1,"b":"{}",{{"c":1,"d":2}}:1}}"#, "x".repeat(1000));
+        let e = parse(&text).unwrap_err();
+        assert!(e.starts_with("Parse error at line:1, col:10") && e.len() < 40, "{e}");
+    }
+
+    #[test]
+    fn brackets_within_strings_are_no_depth_and_others_are_bounded() {
+        let quoted = format!(r#"{{"a":"\"{}"}}"#, "[".repeat(100));
+        assert_eq!((depth(&quoted), parse(&quoted).is_ok()), (1, true));
+        let nested = |n: usize| "[".repeat(n) + &"]".repeat(n);
+        assert!(parse(&nested(MOST_DEPTH)).is_ok());
+        // Guards against a line of brackets that overruns the stack of the coroutine that reads it.
+        for text in [nested(MOST_DEPTH + 1), "[".repeat(60_000), "{\"a\":".repeat(10_000)] {
+            assert!(parse(&text).unwrap_err().contains("deep"));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod core;
 #[forbid(unsafe_code)]
 pub mod interface;
+#[forbid(unsafe_code)]
+pub mod json;
 pub mod net;
 #[forbid(unsafe_code)]
 pub mod settings;
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -13,8 +13,10 @@
 use may::net::TcpListener;
 use tracing::info;
 
+use super::fields::Bad;
 use super::front::{linger, read_some};
-use super::http::response;
+use super::http::{body_len, read_head, response};
+use super::inlet::{Framing, Headed, Inlet, Scan};
 use super::stream::Conn;
 use super::{next, spawn, Hub};
 use crate::core::Input;
@@ -41,33 +43,41 @@
     Undrain,
 }
 
-/// Reads a call; none while it is not there whole. Its body says nothing, and is read so that the answer is not
-/// lost to a reset. What cannot be answered with a yes is the status of the no.
-pub fn parse(bytes: &[u8]) -> Result<Option<Call>, u16> {
-    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
-    let head_len = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) if bytes.len() < MOST_CALL => return Ok(None),
-        Ok(_) => return Err(431),
-        Err(_) => return Err(400),
-    };
-    let length = head.headers.iter().find(|f| f.name.eq_ignore_ascii_case("content-length"));
-    let length =
-        length.map(|f| std::str::from_utf8(f.value).ok().and_then(|v| v.trim().parse::<usize>().ok()));
-    match length.unwrap_or(Some(0)) {
-        None => return Err(400),
-        Some(len) if len > MOST_CALL => return Err(413),
-        Some(len) if bytes.len() < head_len + len => return Ok(None),
-        Some(_) => {}
+/// The door's wire. The body of a call says nothing, and is read so that the answer is not lost to a reset.
+#[derive(Clone, Copy, Debug)]
+pub struct Door;
+
+impl Framing for Door {
+    type Head = Call;
+    type Message = Call;
+    const MOST_HEAD: usize = MOST_CALL;
+
+    fn may_end(&self, bytes: &[u8], scan: &mut Scan) -> bool {
+        scan.finds_blank_line(bytes)
+    }
+
+    fn head(&self, bytes: &[u8]) -> Result<Option<Headed<Call>>, Bad> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let Some((head, len)) = read_head(bytes, &mut fields)? else { return Ok(None) };
+        let body = body_len(head.headers)?;
+        if body > MOST_CALL {
+            return Err(Bad { status: 413, reason: "the body is too large" });
+        }
+        let path = head.path.unwrap_or("").split('?').next().unwrap_or("");
+        let call = match (head.method.unwrap_or(""), path) {
+            ("GET", "/ready") => Call::Ready,
+            ("POST", "/drain") => Call::Drain,
+            ("POST", "/undrain") => Call::Undrain,
+            (_, "/ready" | "/drain" | "/undrain") => {
+                return Err(Bad { status: 405, reason: "not with this method" });
+            }
+            _ => return Err(Bad { status: 404, reason: "no such call" }),
+        };
+        Ok(Some(Headed { head: call, len, body }))
     }
-    let path = head.path.unwrap_or("").split('?').next().unwrap_or("");
-    match (head.method.unwrap_or(""), path) {
-        ("GET", "/ready") => Ok(Some(Call::Ready)),
-        ("POST", "/drain") => Ok(Some(Call::Drain)),
-        ("POST", "/undrain") => Ok(Some(Call::Undrain)),
-        (_, "/ready" | "/drain" | "/undrain") => Err(405),
-        _ => Err(404),
+
+    fn message(&self, headed: Headed<Call>, _body: &[u8], _behind: bool) -> Result<Call, Bad> {
+        Ok(headed.head)
     }
 }
 
@@ -108,19 +118,19 @@
 }
 
 fn serve(mut conn: Conn, hub: &Hub) {
-    let (mut bytes, since) = (Vec::new(), Instant::now());
+    let (mut inlet, since) = (Inlet::new(Door), Instant::now());
     let asked = loop {
-        match parse(&bytes) {
+        match inlet.next_message() {
             Ok(None) => {}
-            Ok(Some(call)) => break Ok(call),
-            Err(status) => break Err(status),
+            Ok(Some((call, _))) => break Ok(call),
+            Err(bad) => break Err(bad.status),
         }
         let left = READ_PATIENCE.saturating_sub(since.elapsed());
         if left.is_zero() {
             break Err(408);
         }
         conn.set_read_patience(left);
-        match read_some(&mut conn, &mut bytes) {
+        match read_some(&mut conn, inlet.room()) {
             Ok(0) => return,
             Ok(_) => {}
             Err(e) if super::front::is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -13,10 +13,11 @@
 use tinyjson::JsonValue;
 use tracing::{debug, info, warn};
 
-use super::lines::Buffer;
+use super::lines::{Buffer, Lines};
 use super::stream::Conn;
 use super::{spawn, Hub};
 use crate::core::{Command, End, Input, Notice};
+use crate::json;
 
 /// Wait before a new link, doubled up to the second after each failure.
 const RELINK: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(250));
@@ -207,24 +208,14 @@
     }
 }
 
-fn read_notices(mut lines: Buffer, cursor: &AtomicU64, hub: &Hub, settled: impl Fn()) -> End {
+fn read_notices(mut link: Buffer, cursor: &AtomicU64, hub: &Hub, settled: impl Fn()) -> End {
     loop {
-        let line = match lines.line() {
-            Ok(line) => line,
-            Err(end) => return end,
-        };
-        match parse(&line) {
-            Ok((number, notice)) => {
-                // A notice that was told before, on this link or a former one, is not told twice.
-                if let Some(number) = number {
-                    if cursor.fetch_max(number, Ordering::AcqRel) >= number {
-                        continue;
-                    }
-                }
-                match notice {
-                    Some(Notice::Sampled { ticket: MOVE, .. }) => settled(),
-                    Some(notice) => hub.push(Input::Agent(notice)),
-                    None => {}
+        match next_notice(&mut link.lines, cursor) {
+            Ok(Some(Notice::Sampled { ticket: MOVE, .. })) => settled(),
+            Ok(Some(notice)) => hub.push(Input::Agent(notice)),
+            Ok(None) => {
+                if let Err(end) = link.more() {
+                    return end;
                 }
             }
             Err(why) => {
@@ -235,6 +226,19 @@
     }
 }
 
+/// The next notice that tells something new; none while it is not there whole. `cursor` is the number of the last
+/// notice read, over all links: what was told before, on this link or a former one, is not told twice.
+pub fn next_notice(lines: &mut Lines, cursor: &AtomicU64) -> Result<Option<Notice>, String> {
+    while let Some(line) = lines.line().map_err(|_| "it is too long, or no text")? {
+        let (number, notice) = parse(&line)?;
+        let told = number.is_some_and(|number| cursor.fetch_max(number, Ordering::AcqRel) >= number);
+        if let Some(notice) = notice.filter(|_| !told) {
+            return Ok(Some(notice));
+        }
+    }
+    Ok(None)
+}
+
 fn encode_sample(ticket: &str, out: &mut String) {
     out.push_str(&format!("{{\"event\":\"sample\",\"ticket\":\"{ticket}\"}}\n"));
 }
@@ -265,7 +269,7 @@
 
 /// Reads one notice: its number, and what it tells, if that matters here.
 pub fn parse(line: &str) -> Result<(Option<u64>, Option<Notice>), String> {
-    let json: JsonValue = line.parse().map_err(|e: tinyjson::JsonParseError| e.to_string())?;
+    let json = json::parse(line)?;
     let members: &HashMap<String, JsonValue> = json.get().ok_or("it is no object")?;
     let text = |key: &str| members.get(key).and_then(|v| v.get::<String>()).map(String::as_str);
     let number = |key: &str| members.get(key).and_then(|v| v.get::<f64>()).copied();
--- a/src/net/fields.rs
+++ b/src/net/fields.rs
@@ -60,11 +60,28 @@
     handle: Option<Handle>,
     start: Option<Duration>,
     patience: Option<Duration>,
-    caller: u32,
-    size_kb: f64,
-    rank: f64,
+    caller: Option<u32>,
+    size_kb: Option<f64>,
+    rank: Option<f64>,
     key: Option<Key>,
-    object: bool,
+    object: Option<bool>,
+}
+
+/// Notes a value. A field that stands twice with different values leaves open which of them counts.
+fn note<T: PartialEq>(held: &mut Option<T>, value: Option<T>, wrong: &'static str) -> Result<(), Bad> {
+    let value = value.ok_or(Bad::request(wrong))?;
+    match held.as_ref().is_some_and(|before| *before != value) {
+        true => Err(Bad::request("a field stands twice")),
+        false => {
+            *held = Some(value);
+            Ok(())
+        }
+    }
+}
+
+/// A number in digits alone: signs are read by some servers, and not by others.
+fn digits<T: std::str::FromStr>(value: &str) -> Option<T> {
+    value.bytes().all(|b| b.is_ascii_digit()).then(|| value.parse().ok()).flatten()
 }
 
 impl Fields {
@@ -73,32 +90,28 @@
         let value = value.trim();
         let is = |known: &str| name.eq_ignore_ascii_case(known);
         if is("x-request-id") {
-            self.handle =
-                Some(value.parse().map_err(|()| Bad::request("X-Request-Id is not 16 hex digits"))?);
+            note(&mut self.handle, value.parse().ok(), "X-Request-Id is not 16 hex digits")
         } else if is("x-request-start") {
-            let ms: u64 = value.parse().map_err(|_| Bad::request("X-Request-Start is no time"))?;
-            self.start = Some(Duration::from_millis(ms));
+            note(&mut self.start, digits(value).map(Duration::from_millis), "X-Request-Start is no time")
         } else if is("x-timeout-ms") {
-            let ms = value.parse().ok().filter(|ms| (1..=MOST_PATIENCE_MS).contains(ms));
-            let ms = ms.ok_or(Bad::request("X-Timeout-Ms is no usable time"))?;
-            self.patience = Some(Duration::from_millis(ms));
+            let ms = digits(value).filter(|ms| (1..=MOST_PATIENCE_MS).contains(ms));
+            note(&mut self.patience, ms.map(Duration::from_millis), "X-Timeout-Ms is no usable time")
         } else if is("x-caller") {
-            self.caller = value.parse().map_err(|_| Bad::request("X-Caller is no number"))?;
+            note(&mut self.caller, digits(value), "X-Caller is no number")
         } else if is("x-memory-kb") {
             let kb = value.parse().ok().filter(|kb| *kb > 0.0 && *kb < MOST_SIZE_KB);
-            self.size_kb = kb.ok_or(Bad::request("X-Memory-Kb is not above 0 and under 2000"))?;
+            note(&mut self.size_kb, kb, "X-Memory-Kb is not above 0 and under 2000")
         } else if is("x-rank") {
             let rank = value.parse().ok().filter(|rank| (0.0..1.0).contains(rank));
-            self.rank = rank.ok_or(Bad::request("X-Rank is not from 0 to under 1"))?;
+            note(&mut self.rank, rank, "X-Rank is not from 0 to under 1")
         } else if is("idempotency-key") {
-            if value.is_empty() || value.len() > MOST_KEY {
-                return Err(Bad::request("Idempotency-Key is empty or too long"));
-            }
-            self.key = Some(value.into());
+            let key = Some(value).filter(|key| !key.is_empty() && key.len() <= MOST_KEY);
+            note(&mut self.key, key.map(Key::from), "Idempotency-Key is empty or too long")
         } else if is("x-object") {
-            self.object = !value.is_empty();
+            note(&mut self.object, Some(!value.is_empty()), "")
+        } else {
+            Ok(())
         }
-        Ok(())
     }
 
     /// The request, if all that it needs is there.
@@ -109,11 +122,11 @@
             class: class.to_string(),
             start: self.start.ok_or(Bad::request("X-Request-Start is missing"))?,
             patience: self.patience,
-            caller: self.caller,
-            size_kb: self.size_kb,
-            rank: self.rank,
+            caller: self.caller.unwrap_or_default(),
+            size_kb: self.size_kb.unwrap_or_default(),
+            rank: self.rank.unwrap_or_default(),
             key: self.key,
-            object: self.object,
+            object: self.object.unwrap_or_default(),
             body,
         })
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::fields::{Bad, Message, Parsed};
+use super::inlet::{Framing, Inlet};
 use super::stream::Conn;
 use super::{Hub, Port};
 use crate::core::{Answer, End, Input, Verdict};
@@ -26,9 +27,7 @@
 const LINGER: (usize, Duration) = (64 << 10, Duration::from_millis(200));
 
 /// How requests and answers look on a front.
-pub trait Wire: Copy + Send + 'static {
-    /// Reads one message from the start of `bytes`; none while it is not there whole.
-    fn parse(&self, bytes: &[u8]) -> Result<Option<Message>, Bad>;
+pub trait Wire: Framing<Message = Message> + Send + 'static {
     /// An answer in bytes.
     fn encode(&self, answer: &Answer, close: bool) -> Vec<u8>;
     /// The answer to input that is no message.
@@ -62,10 +61,10 @@
 /// Serves one connection until it ends.
 pub(super) fn serve<S: Stream, W: Wire>(mut stream: S, wire: W, port: &Port) {
     let (conn, hub) = (port.conn, &*port.hub);
-    let mut bytes = Vec::new();
+    let mut inlet = Inlet::new(wire);
     let mut accepted = Some(port.accepted);
     loop {
-        let message = match read_message(&mut stream, wire, &mut bytes, port, accepted.take()) {
+        let message = match read_message(&mut stream, &mut inlet, port, accepted.take()) {
             Ok(message) => message,
             Err(Stop::Quiet) => return,
             Err(Stop::Bad(bad)) => {
@@ -76,7 +75,6 @@
                 return;
             }
         };
-        bytes.drain(..message.taken);
         // What was read keeps its connection; one that makes room at this moment is gone, and was not read.
         if !port.asks() {
             return;
@@ -103,17 +101,16 @@
 
 fn read_message<W: Wire>(
     stream: &mut impl Stream,
-    wire: W,
-    bytes: &mut Vec<u8>,
+    inlet: &mut Inlet<W>,
     port: &Port,
     accepted: Option<Instant>,
 ) -> Result<Message, Stop> {
     let hub = &*port.hub;
     let since = Instant::now();
-    let mut first_byte = (!bytes.is_empty()).then_some(since);
+    let mut first_byte = (!inlet.is_empty()).then_some(since);
     let (mut last_look, mut told) = (false, false);
     loop {
-        if let Some(message) = wire.parse(bytes).map_err(Stop::Bad)? {
+        if let Some((message, _)) = inlet.next_message().map_err(Stop::Bad)? {
             return Ok(message);
         }
         if first_byte.is_some() && !told {
@@ -137,16 +134,18 @@
         // What came while the timer fired is read before the connection is closed as idle.
         last_look = left.is_zero();
         stream.conn().set_read_patience(left.clamp(Duration::from_millis(1), IDLE_LOOK));
-        match read_some(stream, bytes) {
+        match read_some(stream, inlet.room()) {
             Ok(0) if idle => return Err(Stop::Quiet),
             // The caller may have closed only its own side, and still read.
-            Ok(0) => return Err(Stop::Bad(Bad::request("the request ends early"))),
+            Ok(0) => {
+                return Err(Stop::Bad(inlet.end().unwrap_or(Bad::request("the request ends early"))));
+            }
             Ok(_) => {}
             Err(e) if is_timeout(&e) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(_) => return Err(Stop::Quiet),
         }
-        if !bytes.is_empty() {
+        if !inlet.is_empty() {
             first_byte.get_or_insert_with(Instant::now);
         }
     }
@@ -180,7 +179,8 @@
     }
 }
 
-pub(super) fn read_some(stream: &mut impl Read, bytes: &mut Vec<u8>) -> io::Result<usize> {
+/// Reads once, behind what is there; the number of bytes that came.
+pub(crate) fn read_some(stream: &mut impl Read, bytes: &mut Vec<u8>) -> io::Result<usize> {
     let had = bytes.len();
     bytes.resize(had + CHUNK, 0);
     let read = stream.read(&mut bytes[had..]);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,7 +4,7 @@
 //! own, and a queue with a bound. Where that is not enough the link is cut, which both sides know how to bear.
 
 use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, BufWriter, Read, Write};
+use std::io::{self, BufWriter, Write};
 use std::net::Shutdown;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -18,6 +18,8 @@
 use base64::Engine;
 use tracing::{info, warn};
 
+use super::front::read_some;
+use super::lines::Lines;
 use super::Hub;
 use crate::core::{Answer, Bytes, ConnId, Input, Key, KeyState, Request, Succession, Verdict};
 
@@ -26,7 +28,7 @@
 /// A process that reads nothing for this long is taken to hang.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// The longest line: a result or a body, and a key.
-const MOST_LINE: u64 = 64 << 10;
+const MOST_LINE: usize = 64 << 10;
 /// Stack of the link's threads: their buffers are on the heap.
 const STACK: usize = 128 << 10;
 
@@ -98,13 +100,13 @@
 
     /// Tells the reducer what the other process says, until it is gone.
     fn listen(&self, stream: UnixStream, hub: &Hub, gone: Succession) {
-        let mut reads = BufReader::new(stream);
+        let mut lines = Lines::new(MOST_LINE);
         loop {
-            let mut line = String::new();
-            match reads.by_ref().take(MOST_LINE).read_line(&mut line) {
-                Ok(n) if n > 0 => {}
+            let line = match lines.line() {
+                Ok(Some(line)) => line,
+                Ok(None) if matches!(read_some(&mut (&stream), lines.room()), Ok(n) if n > 0) => continue,
                 _ => break,
-            }
+            };
             match parse(&line) {
                 Some(Heard::Word(word)) => hub.push(Input::Succession(word)),
                 Some(Heard::Request(mut request)) => {
@@ -241,7 +243,7 @@
     Request(Box<Request>),
 }
 
-/// Reads a line; none if it makes no sense.
+/// Reads a line without its end; none if it makes no sense.
 pub fn parse(line: &str) -> Option<Heard> {
     let bytes = |word: &str| -> Option<Option<Bytes>> {
         match word.strip_prefix('=') {
@@ -256,7 +258,7 @@
         "1" => Some(true),
         _ => None,
     };
-    let words: Vec<&str> = line.strip_suffix('\n')?.split(' ').collect();
+    let words: Vec<&str> = line.split(' ').collect();
     let word = match words[..] {
         ["begin"] => Succession::Begin,
         ["complete", standby] => Succession::Complete { standby: flag(standby)? },
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,6 +2,7 @@
 
 use super::fields::{Bad, Fields, Message, Parsed, MOST_BODY, MOST_HEAD};
 use super::front::Wire;
+use super::inlet::{Framing, Headed, Scan};
 use crate::core::{Answer, Verdict};
 
 /// Where requests go; the class follows.
@@ -15,11 +16,46 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Http;
 
-impl Wire for Http {
-    fn parse(&self, bytes: &[u8]) -> Result<Option<Message>, Bad> {
-        parse(bytes)
+impl Framing for Http {
+    type Head = Head;
+    type Message = Message;
+    const MOST_HEAD: usize = MOST_HEAD;
+
+    fn may_end(&self, bytes: &[u8], scan: &mut Scan) -> bool {
+        scan.finds_blank_line(bytes)
+    }
+
+    fn head(&self, bytes: &[u8]) -> Result<Option<Headed<Head>>, Bad> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let Some((head, len)) = read_head(bytes, &mut fields)? else { return Ok(None) };
+        let mut known = Fields::default();
+        let mut close = head.version == Some(0);
+        for field in head.headers.iter() {
+            if ["content-length", "transfer-encoding"].iter().any(|f| field.name.eq_ignore_ascii_case(f)) {
+                continue;
+            }
+            let value = std::str::from_utf8(field.value).map_err(|_| Bad::request("a field is no text"))?;
+            if field.name.eq_ignore_ascii_case("connection") {
+                close |= value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close"));
+            } else {
+                known.set(field.name, value)?;
+            }
+        }
+        let body = body_len(head.headers)?;
+        if body > MOST_BODY {
+            return Err(Bad { status: 413, reason: "the body is too large" });
+        }
+        let route = route(head.method.unwrap_or(""), head.path.unwrap_or(""), known)?;
+        Ok(Some(Headed { head: Head { route, close }, len, body }))
+    }
+
+    fn message(&self, headed: Headed<Head>, body: &[u8], _behind: bool) -> Result<Message, Bad> {
+        let taken = headed.len + headed.body;
+        Ok(Message { parsed: headed.head.route.with(body)?, taken, close: headed.head.close })
     }
+}
 
+impl Wire for Http {
     fn encode(&self, answer: &Answer, close: bool) -> Vec<u8> {
         let (status, fields, body) = parts(answer);
         response(status, &fields, body, close)
@@ -30,64 +66,101 @@
     }
 }
 
-fn parse(bytes: &[u8]) -> Result<Option<Message>, Bad> {
-    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
-    let head_len = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(len)) if len <= MOST_HEAD => len,
-        Ok(httparse::Status::Partial) if bytes.len() < MOST_HEAD => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
-            return Err(Bad { status: 431, reason: "the head is too large" });
-        }
-        Err(_) => return Err(Bad::request("this is no HTTP request")),
-    };
-    let mut known = Fields::default();
-    let mut body_len = None;
-    let mut close = head.version == Some(0);
-    for field in head.headers.iter() {
-        let value = std::str::from_utf8(field.value).map_err(|_| Bad::request("a field is no text"))?;
-        if field.name.eq_ignore_ascii_case("content-length") {
-            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
-            let len: usize =
-                value.parse().ok().filter(|_| digits).ok_or(Bad::request("Content-Length is no length"))?;
-            // Two lengths that differ leave it open where the next request starts.
-            if body_len.replace(len).is_some_and(|before| before != len) {
-                return Err(Bad::request("Content-Length stands twice"));
-            }
-        } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
+/// What the head of a request says.
+#[derive(Debug)]
+pub struct Head {
+    route: Route,
+    /// The connection is closed after the answer.
+    close: bool,
+}
+
+/// Reads the head of an HTTP request and tells its length; none while it is not there whole.
+pub(super) fn read_head<'h, 'b>(
+    bytes: &'b [u8],
+    fields: &'h mut [httparse::Header<'b>],
+) -> Result<Option<(httparse::Request<'h, 'b>, usize)>, Bad> {
+    let mut head = httparse::Request::new(fields);
+    match head.parse(bytes) {
+        // An end of a line that is a line feed alone is one to some servers on the way, and none to others.
+        Ok(httparse::Status::Complete(len)) => match has_bare_line_feed(&bytes[..len]) {
+            true => Err(Bad::request("a line does not end in CR LF")),
+            false => Ok(Some((head, len))),
+        },
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Bad { status: 431, reason: "the head is too large" }),
+        Err(_) => Err(Bad::request("this is no HTTP request")),
+    }
+}
+
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.first() == Some(&b'\n') || head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
+}
+
+/// How long the body behind a head is. What leaves open where the next request starts is turned down: another
+/// server on the way could see another request there.
+pub(super) fn body_len(fields: &[httparse::Header]) -> Result<usize, Bad> {
+    let mut told = None;
+    for field in fields {
+        if field.name.eq_ignore_ascii_case("transfer-encoding") {
             return Err(Bad { status: 411, reason: "a body needs a Content-Length" });
-        } else if field.name.eq_ignore_ascii_case("connection") {
-            close |= value.split(',').any(|word| word.trim().eq_ignore_ascii_case("close"));
-        } else {
-            known.set(field.name, value)?;
+        }
+        if !field.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        let digits = !field.value.is_empty() && field.value.iter().all(u8::is_ascii_digit);
+        let len = std::str::from_utf8(field.value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
+        let len: usize = len.ok_or(Bad::request("Content-Length is no length"))?;
+        if told.replace(len).is_some_and(|before| before != len) {
+            return Err(Bad::request("Content-Length stands twice"));
         }
     }
-    let body_len = body_len.unwrap_or(0);
-    if body_len > MOST_BODY {
-        return Err(Bad { status: 413, reason: "the body is too large" });
+    Ok(told.unwrap_or(0))
+}
+
+/// What a message asks for, before its body is there.
+#[derive(Debug)]
+pub enum Route {
+    /// A health check.
+    Check {
+        /// The caller wants to know whether work gets done.
+        deep: bool,
+    },
+    /// A request of a class.
+    Request {
+        /// The class.
+        class: String,
+        /// Its fields.
+        fields: Box<Fields>,
+    },
+}
+
+impl Route {
+    /// What was read, with its body.
+    pub(super) fn with(self, body: &[u8]) -> Result<Parsed, Bad> {
+        Ok(match self {
+            Self::Check { deep } => Parsed::Check { deep },
+            Self::Request { class, fields } => Parsed::Request(Box::new(fields.finish(&class, body.into())?)),
+        })
     }
-    let taken = head_len + body_len;
-    let Some(body) = bytes.get(head_len..taken) else { return Ok(None) };
-    let parsed = route(head.method.unwrap_or(""), head.path.unwrap_or(""), known, body)?;
-    Ok(Some(Message { parsed, taken, close }))
 }
 
 /// Tells what a method and a target ask for; shared with the other front.
-pub(super) fn route(method: &str, target: &str, fields: Fields, body: &[u8]) -> Result<Parsed, Bad> {
+pub(super) fn route(method: &str, target: &str, fields: Fields) -> Result<Route, Bad> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     if path == CHECK {
         return match method {
-            "GET" => Ok(Parsed::Check { deep: query.split('&').any(|pair| pair == "deep=1") }),
+            "GET" => Ok(Route::Check { deep: query.split('&').any(|pair| pair == "deep=1") }),
             _ => Err(Bad { status: 405, reason: "a check is a GET" }),
         };
     }
     let Some(class) = path.strip_prefix(PATH) else {
         return Err(Bad { status: 404, reason: "no such path" });
     };
-    if !matches!(method, "POST" | "GET" | "PUT") {
+    // A request may have an effect: what a GET or a PUT promises does not hold for it.
+    if method != "POST" {
         return Err(Bad { status: 405, reason: "a request is a POST" });
     }
-    Ok(Parsed::Request(Box::new(fields.finish(class, body.into())?)))
+    Ok(Route::Request { class: class.to_string(), fields: Box::new(fields) })
 }
 
 /// Status, fields and body of an answer; shared with the other front.
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -8,62 +8,90 @@
 use crate::core::End;
 
 /// The longest line or body that a link may bring.
-const MOST: usize = 64 << 10;
+pub const MOST: usize = 64 << 10;
 
-/// What was read off a link and not yet used.
-pub(super) struct Buffer {
-    stream: Conn,
+/// Lines out of the pieces in which they come, without I/O. Each byte is looked at once for the end of a line.
+#[derive(Debug)]
+pub struct Lines {
     bytes: Vec<u8>,
     used: usize,
-    until: Option<Instant>,
+    /// Bytes behind `used` in which there is no end of a line.
+    looked: usize,
+    most: usize,
+    work: u64,
 }
 
-impl Buffer {
-    pub(super) fn new(stream: Conn) -> Self {
-        Self { stream, bytes: Vec::new(), used: 0, until: None }
+impl Lines {
+    /// Lines of at most `most` bytes without their ends.
+    pub fn new(most: usize) -> Self {
+        Self { bytes: Vec::new(), used: 0, looked: 0, most, work: 0 }
     }
 
-    /// Waits no longer than to this time.
-    pub(super) fn until(&mut self, until: Instant) {
-        self.until = Some(until);
+    /// Where more bytes are to be put, behind those that are there.
+    pub fn room(&mut self) -> &mut Vec<u8> {
+        self.work += (self.bytes.len() - self.used) as u64 * u64::from(self.used > 0);
+        self.bytes.drain(..std::mem::take(&mut self.used));
+        &mut self.bytes
     }
 
     /// All that came was used.
-    pub(super) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.used == self.bytes.len()
     }
 
-    /// The next line, without its end.
-    pub(super) fn line(&mut self) -> Result<String, End> {
-        let mut looked = 0;
-        loop {
-            let rest = &self.bytes[self.used..];
-            if let Some(len) = rest[looked..].iter().position(|b| *b == b'\n').map(|at| looked + at) {
-                let line = rest[..len].strip_suffix(b"\r").unwrap_or(&rest[..len]);
-                let line = std::str::from_utf8(line).map_err(|_| End::Malformed)?.to_string();
-                self.used += len + 1;
-                return Ok(line);
-            }
-            looked = rest.len();
-            self.more()?;
-        }
+    /// Bytes that were looked at or moved so far.
+    pub fn work(&self) -> u64 {
+        self.work
     }
 
-    /// The next `len` bytes.
-    pub(super) fn exact(&mut self, len: usize) -> Result<Vec<u8>, End> {
-        while self.bytes.len() - self.used < len {
-            self.more()?;
+    /// The next line, without its end; none while it is not there whole. [`End::Malformed`] where it is longer
+    /// than it may be, or no text.
+    pub fn line(&mut self) -> Result<Option<String>, End> {
+        let rest = &self.bytes[self.used..];
+        let found = rest[self.looked..].iter().position(|b| *b == b'\n').map(|at| self.looked + at);
+        self.work += (found.map_or(rest.len(), |at| at + 1) - self.looked) as u64;
+        let Some(len) = found else {
+            self.looked = rest.len();
+            return if rest.len() > self.most { Err(End::Malformed) } else { Ok(None) };
+        };
+        if len > self.most {
+            return Err(End::Malformed);
         }
-        let bytes = self.bytes[self.used..self.used + len].to_vec();
-        self.used += len;
-        Ok(bytes)
+        let line = rest[..len].strip_suffix(b"\r").unwrap_or(&rest[..len]);
+        let line = std::str::from_utf8(line).map_err(|_| End::Malformed)?.to_string();
+        self.work += len as u64;
+        (self.used, self.looked) = (self.used + len + 1, 0);
+        Ok(Some(line))
     }
 
-    fn more(&mut self) -> Result<(), End> {
-        self.bytes.drain(..std::mem::take(&mut self.used));
-        if self.bytes.len() > MOST {
-            return Err(End::Malformed);
-        }
+    /// The next `len` bytes, once they are there.
+    pub fn exact(&mut self, len: usize) -> Option<Vec<u8>> {
+        let bytes = self.bytes[self.used..].get(..len)?.to_vec();
+        self.work += len as u64;
+        (self.used, self.looked) = (self.used + len, 0);
+        Some(bytes)
+    }
+}
+
+/// What was read off a link and not yet used.
+pub(super) struct Buffer {
+    stream: Conn,
+    pub(super) lines: Lines,
+    until: Option<Instant>,
+}
+
+impl Buffer {
+    pub(super) fn new(stream: Conn) -> Self {
+        Self { stream, lines: Lines::new(MOST), until: None }
+    }
+
+    /// Waits no longer than to this time.
+    pub(super) fn until(&mut self, until: Instant) {
+        self.until = Some(until);
+    }
+
+    /// Waits for more bytes.
+    pub(super) fn more(&mut self) -> Result<(), End> {
         loop {
             if let Some(until) = self.until {
                 let left = until.saturating_duration_since(Instant::now());
@@ -72,7 +100,7 @@
                 }
                 self.stream.set_read_patience(left);
             }
-            match read_some(&mut self.stream, &mut self.bytes) {
+            match read_some(&mut self.stream, self.lines.room()) {
                 Ok(0) => return Err(End::Broken),
                 Ok(_) => return Ok(()),
                 Err(e) if is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,9 @@
 pub mod front;
 pub mod handover;
 pub mod http;
-mod lines;
+pub mod inlet;
+pub mod lines;
+pub mod ports;
 pub mod scgi;
 mod spawn;
 mod stream;
@@ -33,6 +35,7 @@
 use crate::acme::Shared;
 use crate::core::{Answer, ConnId, Core, Effect, Input, Query};
 use crate::settings::{Config, Links};
+use ports::Ports;
 use spawn::spawn_deep;
 pub use spawn::{spawn, start_runtime};
 use stream::Conn;
@@ -44,10 +47,6 @@
 /// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime; half
 /// of them where there are few.
 const RESERVED_SOCKETS: usize = 128;
-/// Connections that were closed to make room and whose coroutines have not noticed yet.
-const MOST_EVICTED: usize = 16;
-/// A connection keeps its place for so long after it was accepted or answered: its request may be on the way.
-const EVICT_AFTER: Duration = Duration::from_millis(100);
 /// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
 /// memory than that for each of many such callers.
 const SEND_BUFFER: usize = 16 << 10;
@@ -88,7 +87,7 @@
 pub struct Hub {
     inbox: Sender<Input>,
     waiting: AtomicUsize,
-    ports: Mutex<Ports>,
+    ports: Mutex<Ports<Held>>,
     next_conn: AtomicU64,
     sockets: usize,
     most_connections: AtomicUsize,
@@ -138,7 +137,7 @@
         let most = ((self.sockets - reserved) / parts).max(1);
         self.most_connections.store(most, Ordering::Relaxed);
         self.most_calls.store((reserved / 2 / parts).max(1), Ordering::Relaxed);
-        self.ports().shrink(most);
+        self.ports().shrink(most, Instant::now(), Held::close);
     }
 
     /// Calls below that may be out at once.
@@ -165,7 +164,7 @@
         self.queries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn ports(&self) -> MutexGuard<'_, Ports> {
+    fn ports(&self) -> MutexGuard<'_, Ports<Held>> {
         self.ports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -179,17 +178,10 @@
         let conn = self.new_conn();
         let (answer, answers) = co::channel();
         let accepted = Instant::now();
-        let place = Place {
-            answer,
-            stream: stream.clone(),
-            asked: false,
-            begun: false,
-            busy: false,
-            evicted: false,
-            since: accepted,
-        };
+        let held = Held { answer, stream: stream.clone() };
         let most = self.most_connections.load(Ordering::Relaxed);
-        self.ports().take_in(conn, place, most).then(|| Port { conn, answers, accepted, hub: self.clone() })
+        let taken = self.ports().take_in(conn, held, accepted, most, Held::close);
+        taken.then(|| Port { conn, answers, accepted, hub: self.clone() })
     }
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
@@ -208,58 +200,16 @@
     }
 }
 
-/// A connection of a caller, as the others see it.
-struct Place {
+/// What is held for a connection of a caller.
+struct Held {
     answer: co::Sender<Arc<Answer>>,
     stream: Conn,
-    /// It has brought a whole message.
-    asked: bool,
-    /// A part of a message is there: the rest may be on the way, if slowly.
-    begun: bool,
-    /// A message of it is not answered yet.
-    busy: bool,
-    /// It was closed to make room, and its coroutine has not noticed yet.
-    evicted: bool,
-    /// When it was accepted, or last answered.
-    since: Instant,
-}
-
-/// The connections of callers.
-#[derive(Default)]
-struct Ports {
-    places: HashMap<ConnId, Place>,
-    evicted: usize,
 }
 
-impl Ports {
-    /// Takes in a connection; false if there is no room and none can be made. Clients that connect and say
-    /// nothing must not keep out those that do: they make room first, then those with half a
-    /// request, then whoever has been idle for longest.
-    fn take_in(&mut self, conn: ConnId, place: Place, most: usize) -> bool {
-        if self.places.len() - self.evicted >= most
-            && (self.evicted >= MOST_EVICTED || !self.evict(place.since))
-        {
-            return false;
-        }
-        self.places.insert(conn, place);
-        true
-    }
-
-    /// Closes what is idle, down to `most` where that is enough.
-    fn shrink(&mut self, most: usize) {
-        while self.places.len() - self.evicted > most && self.evict(Instant::now()) {}
-    }
-
-    fn evict(&mut self, now: Instant) -> bool {
-        let rests = |p: &&mut Place| !p.busy && !p.evicted && now.duration_since(p.since) >= EVICT_AFTER;
-        let Some(place) = self.places.values_mut().filter(rests).min_by_key(|p| (p.asked, p.begun, p.since))
-        else {
-            return false;
-        };
-        place.evicted = true;
-        self.evicted += 1;
-        place.stream.shutdown(Shutdown::Both);
-        true
+impl Held {
+    /// Closes the connection to make room.
+    fn close(&self) {
+        self.stream.shutdown(Shutdown::Both);
     }
 }
 
@@ -278,31 +228,23 @@
 
     /// A message was read: from now on the connection is owed an answer. False if it was closed before.
     fn asks(&self) -> bool {
-        let mut ports = self.hub.ports();
-        let Some(place) = ports.places.get_mut(&self.conn).filter(|p| !p.evicted) else { return false };
-        (place.asked, place.begun, place.busy) = (true, false, true);
-        true
+        self.hub.ports().asks(self.conn)
     }
 
     /// A part of a message was read.
     fn begins(&self) {
-        self.hub.ports().places.get_mut(&self.conn).into_iter().for_each(|place| place.begun = true);
+        self.hub.ports().begins(self.conn);
     }
 
     /// The message was answered.
     fn rests(&self) {
-        if let Some(place) = self.hub.ports().places.get_mut(&self.conn) {
-            (place.busy, place.since) = (false, Instant::now());
-        }
+        self.hub.ports().rests(self.conn, Instant::now());
     }
 }
 
 impl Drop for Port {
     fn drop(&mut self) {
-        let mut ports = self.hub.ports();
-        if ports.places.remove(&self.conn).is_some_and(|place| place.evicted) {
-            ports.evicted -= 1;
-        }
+        self.hub.ports().leaves(self.conn);
     }
 }
 
@@ -571,7 +513,7 @@
             if let Some(fault) = self.fault {
                 return Err(fault);
             }
-            if leaving && self.hub.ports().places.is_empty() {
+            if leaving && self.hub.ports().is_empty() {
                 break;
             }
         }
@@ -583,8 +525,8 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { conn, answer } => {
-                if let Some(place) = self.hub.ports().places.get(&conn) {
-                    let _ = place.answer.send(answer);
+                if let Some(held) = self.hub.ports().get(conn) {
+                    let _ = held.answer.send(answer);
                 } else if let Some(predecessor) = &self.predecessor {
                     predecessor.answer(conn, &answer);
                 }
@@ -664,34 +606,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn silent_clients_make_room_before_slow_requests_and_those_before_idle_callers() {
-        // Guards against a request that takes its time being closed in favour of clients that say nothing.
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let long_ago = Instant::now().checked_sub(Duration::from_secs(1)).unwrap();
-        let mut ports = Ports::default();
-        for (conn, asked, begun, busy) in [
-            (1, true, false, true),
-            (2, true, false, false),
-            (3, false, true, false),
-            (4, false, false, false),
-        ] {
-            let stream = Conn::connect(address, front::WRITE_PATIENCE, front::WRITE_PATIENCE).unwrap();
-            let since = long_ago + Duration::from_millis(conn);
-            let place = Place { answer: co::channel().0, stream, asked, begun, busy, evicted: false, since };
-            ports.places.insert(conn, place);
-        }
-        for expected in [4, 3, 2] {
-            assert!(ports.evict(Instant::now()));
-            assert!(ports.places[&expected].evicted, "{expected}");
-        }
-        assert!(!ports.evict(Instant::now()), "who is owed an answer stays");
-        ports.shrink(0);
-    }
-}
--- a/src/net/scgi.rs
+++ b/src/net/scgi.rs
@@ -13,7 +13,8 @@
 
 use super::fields::{Bad, Fields, Message, MOST_BODY, MOST_HEAD};
 use super::front::{is_timeout, read_some, Wire};
-use super::http::{parts, phrase, route};
+use super::http::{parts, phrase, route, Route};
+use super::inlet::{Framing, Headed, Scan};
 use super::{spawn, Hub};
 use crate::core::{Answer, Bytes, Command, End, Handle, Input, Notice};
 
@@ -28,11 +29,37 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Scgi;
 
-impl Wire for Scgi {
-    fn parse(&self, bytes: &[u8]) -> Result<Option<Message>, Bad> {
-        parse(bytes)
+impl Framing for Scgi {
+    type Head = Route;
+    type Message = Message;
+    const MOST_HEAD: usize = MOST_HEAD + LENGTH_DIGITS + 2;
+
+    fn may_end(&self, bytes: &[u8], _scan: &mut Scan) -> bool {
+        // The length stands first: a look at the few bytes that matter costs nothing.
+        !matches!(netstring(bytes), Ok(None))
+    }
+
+    fn head(&self, bytes: &[u8]) -> Result<Option<Headed<Route>>, Bad> {
+        let Some((block, len)) = netstring(bytes)? else { return Ok(None) };
+        let (head, body) = read_block(block)?;
+        Ok(Some(Headed { head, len, body }))
+    }
+
+    fn message(&self, headed: Headed<Route>, body: &[u8], behind: bool) -> Result<Message, Bad> {
+        let (parsed, taken) = (headed.head.with(body)?, headed.len + headed.body);
+        // Nothing may follow on this wire: either length could be the wrong one, so the request is not run.
+        match behind {
+            true => Err(Bad::request("the body is longer than CONTENT_LENGTH")),
+            false => Ok(Message { parsed, taken, close: true }),
+        }
     }
 
+    fn too_large(&self) -> Bad {
+        Bad { status: 431, reason: "the header block is too large" }
+    }
+}
+
+impl Wire for Scgi {
     fn encode(&self, answer: &Answer, _close: bool) -> Vec<u8> {
         let (status, fields, body) = parts(answer);
         response(status, &fields, body)
@@ -73,53 +100,54 @@
     }
 }
 
-fn parse(bytes: &[u8]) -> Result<Option<Message>, Bad> {
-    let Some((block, body_at)) = netstring(bytes)? else { return Ok(None) };
+/// Reads the fields: what is asked for, and the length of the body. A name that stands twice leaves open which of
+/// its values counts, and is no request.
+fn read_block(block: &[u8]) -> Result<(Route, usize), Bad> {
     let text = std::str::from_utf8(block).map_err(|_| Bad::request("a field is no text"))?;
     let text = text.strip_suffix('\0').ok_or(Bad::request("the last field is not ended"))?;
     let mut parts = text.split('\0');
     let mut known = Fields::default();
-    let (mut body_len, mut scgi) = (None, false);
-    let (mut method, mut uri, mut path, mut query) = ("", "", "", "");
+    let (mut body_len, mut scgi) = (None, None);
+    let (mut method, mut uri, mut path, mut query) = (None, None, None, None);
     while let Some(name) = parts.next() {
         let value = parts.next().ok_or(Bad::request("a field has no value"))?;
         if body_len.is_none() && name != "CONTENT_LENGTH" {
             return Err(Bad::request("CONTENT_LENGTH does not come first"));
         }
-        match name {
+        let once = match name {
             "CONTENT_LENGTH" => {
                 let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
-                let len = value.parse::<usize>().ok().filter(|_| digits && body_len.is_none());
-                body_len = Some(len.ok_or(Bad::request("CONTENT_LENGTH is no length, or stands twice"))?);
+                let len = value.parse::<usize>().ok().filter(|_| digits);
+                body_len.replace(len.ok_or(Bad::request("CONTENT_LENGTH is no length"))?).is_none()
             }
-            "SCGI" => scgi = value == "1",
-            "REQUEST_METHOD" => method = value,
-            "REQUEST_URI" => uri = value,
-            "PATH_INFO" => path = value,
-            "QUERY_STRING" => query = value,
+            "SCGI" => scgi.replace(value).is_none(),
+            "REQUEST_METHOD" => method.replace(value).is_none(),
+            "REQUEST_URI" => uri.replace(value).is_none(),
+            "PATH_INFO" => path.replace(value).is_none(),
+            "QUERY_STRING" => query.replace(value).is_none(),
             _ => {
                 if let Some(name) = name.strip_prefix("HTTP_") {
                     known.set(&name.replace('_', "-"), value)?;
                 }
+                true
             }
+        };
+        if !once {
+            return Err(Bad::request("a field stands twice"));
         }
     }
     let body_len = body_len.ok_or(Bad::request("CONTENT_LENGTH is missing"))?;
-    if !scgi {
+    if scgi != Some("1") {
         return Err(Bad::request("SCGI=1 is missing"));
     }
     if body_len > MOST_BODY {
         return Err(Bad { status: 413, reason: "the body is too large" });
     }
-    let taken = body_at + body_len;
-    let Some(body) = bytes.get(body_at..taken) else { return Ok(None) };
-    // Nothing may follow on this wire: either length could be the wrong one, so the request is not run.
-    if bytes.len() > taken {
-        return Err(Bad::request("the body is longer than CONTENT_LENGTH"));
-    }
-    let target = if uri.is_empty() { format!("{path}?{query}") } else { uri.to_string() };
-    let parsed = route(method, &target, known, body)?;
-    Ok(Some(Message { parsed, taken, close: true }))
+    let target = match uri.filter(|uri| !uri.is_empty()) {
+        Some(uri) => uri.to_string(),
+        None => format!("{}?{}", path.unwrap_or(""), query.unwrap_or("")),
+    };
+    Ok((route(method.unwrap_or(""), &target, known)?, body_len))
 }
 
 /// A request in bytes; `fields` come after CONTENT_LENGTH and SCGI.
@@ -141,7 +169,9 @@
     let body = &bytes[body_at..];
     let mut status = 200;
     for line in head.lines() {
-        let Some((name, value)) = line.split_once(':') else { return (End::Malformed, None) };
+        // A name with a blank could be one that matters to others: an answer cut short would pass as whole.
+        let field = line.split_once(':').filter(|(name, _)| name.bytes().all(|b| b.is_ascii_graphic()));
+        let Some((name, value)) = field else { return (End::Malformed, None) };
         let value = value.trim();
         if name.eq_ignore_ascii_case("status") {
             match value.split(' ').next().and_then(|code| code.parse().ok()) {
--- a/src/net/vault.rs
+++ b/src/net/vault.rs
@@ -12,7 +12,7 @@
 use tracing::debug;
 
 use super::front::is_timeout;
-use super::lines::Buffer;
+use super::lines::{Buffer, Lines};
 use super::stream::Conn;
 use super::{spawn, Hub};
 use crate::core::{Bytes, End, Handle, Input};
@@ -157,9 +157,9 @@
         // Given up before it was made.
         None => return (End::Cancelled, None),
     }
-    let mut lines = Buffer::new(conn.clone());
+    let mut link = Buffer::new(conn.clone());
     let ended = match conn.write_all(&encode_ask(handle, patience, body)) {
-        Ok(()) => read_reply(&mut lines, handle, until),
+        Ok(()) => read_reply(&mut link, handle, until),
         Err(e) => Err(if is_timeout(&e) { End::Stalled } else { End::Broken }),
     };
     let mut pool = lock(pool);
@@ -168,7 +168,7 @@
     }
     // A connection that brought more than its own reply, or none that can be read, is not used again.
     let room = pool.idle.len() < MOST_IDLE.0.min(hub.most_calls() / MOST_IDLE.1);
-    if ended.is_ok() && lines.is_empty() && pool.epoch == epoch && room {
+    if ended.is_ok() && link.lines.is_empty() && pool.epoch == epoch && room {
         pool.idle.push((conn, Instant::now()));
     } else {
         conn.shutdown(Shutdown::Both);
@@ -177,16 +177,52 @@
 }
 
 /// Reads up to the reply of this request; replies under other ids are nobody's.
-fn read_reply(lines: &mut Buffer, handle: Handle, until: Instant) -> Result<(End, Option<Bytes>), End> {
-    lines.until(until);
+fn read_reply(link: &mut Buffer, handle: Handle, until: Instant) -> Result<(End, Option<Bytes>), End> {
+    link.until(until);
+    let mut replies = Replies::default();
     loop {
-        let (whose, end, len) = parse_reply(&lines.line()?)?;
-        let body = len.map(|len| lines.exact(len)).transpose()?;
-        if body.is_some() && !lines.line()?.is_empty() {
-            return Err(End::Malformed);
+        match replies.next_reply(&mut link.lines)? {
+            Some((whose, end, reply)) if whose == handle => return Ok((end, reply)),
+            Some(_) => {}
+            None => link.more()?,
         }
-        if whose == handle {
-            return Ok((end, body.map(Bytes::from)));
+    }
+}
+
+/// Reads replies off lines, and keeps the head of one whose body is not there yet.
+#[derive(Debug, Default)]
+pub struct Replies {
+    /// Whose body is awaited, and its length.
+    head: Option<(Handle, usize)>,
+    /// That body, whose line is not ended yet.
+    body: Option<Bytes>,
+}
+
+impl Replies {
+    /// The next reply: whose it is, how the call ended, and the body where it went well; none while it is not there
+    /// whole.
+    pub fn next_reply(&mut self, lines: &mut Lines) -> Result<Option<(Handle, End, Option<Bytes>)>, End> {
+        if self.head.is_none() {
+            let Some(line) = lines.line()? else { return Ok(None) };
+            match parse_reply(&line)? {
+                (whose, _, Some(len)) => self.head = Some((whose, len)),
+                (whose, end, None) => return Ok(Some((whose, end, None))),
+            }
+        }
+        let Some((whose, len)) = self.head else { return Ok(None) };
+        if self.body.is_none() {
+            self.body = lines.exact(len).map(Bytes::from);
+        }
+        if self.body.is_none() {
+            return Ok(None);
+        }
+        match lines.line()? {
+            None => Ok(None),
+            Some(line) if line.is_empty() => {
+                self.head = None;
+                Ok(Some((whose, End::Complete, self.body.take())))
+            }
+            Some(_) => Err(End::Malformed),
         }
     }
 }
@@ -209,8 +245,13 @@
         Some("pointless") => End::Pointless,
         _ => return Err(End::Malformed),
     };
-    let len = words.next().map(|len| len.parse().map_err(|_| End::Malformed)).transpose()?;
-    if len.is_some() != (end == End::Complete) || len.is_some_and(|len| len > MOST_REPLY) {
+    let digits = |len: &&str| len.bytes().all(|b| b.is_ascii_digit());
+    let number = |len: &str| Some(len).filter(digits).and_then(|len| len.parse().ok()).ok_or(End::Malformed);
+    let len: Option<usize> = words.next().map(number).transpose()?;
+    if words.next().is_some()
+        || len.is_some() != (end == End::Complete)
+        || len.is_some_and(|len| len > MOST_REPLY)
+    {
         return Err(End::Malformed);
     }
     Ok((handle, end, len))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,7 @@
 use tinyjson::JsonValue;
 
 use crate::interface::{Below, Class, Preemption, Repeat, Settings, Signal, Tenant};
+use crate::json;
 
 /// Keys that may come and go between two readings of the file.
 const OPTIONAL: [&str; 2] = ["aim_stretch", "fleet"];
@@ -52,7 +53,8 @@
     }
 
     fn bad<T>(&self, problem: impl Into<String>) -> Result<T, ConfigError> {
-        Err(ConfigError::new(self.key.clone(), problem))
+        let key = if self.key.is_empty() { "(document)" } else { &self.key };
+        Err(ConfigError::new(key, problem))
     }
 
     /// The value under `key`; absent where this node is.
@@ -268,7 +270,7 @@
 }
 
 fn parse_json(what: &str, json: &str) -> Result<JsonValue, ConfigError> {
-    json.parse().map_err(|e: tinyjson::JsonParseError| ConfigError::new(what, format!("no JSON: {e}")))
+    json::parse(json).map_err(|e| ConfigError::new(what, format!("no JSON: {e}")))
 }
 
 /// What the program as a whole is told.
@@ -398,6 +400,19 @@
     }
 }
 
+/// What follows `http://` leads to this machine. Without TLS anyone on the way could hand out certificates; a
+/// loopback has no way. A name that only begins like an address leads anywhere.
+fn is_loopback(rest: &str) -> bool {
+    let place = rest.split(['/', '?', '#']).next().unwrap_or_default();
+    let (host, port) = match place.rsplit_once(':') {
+        Some((host, port)) if !port.ends_with(']') => (host, port),
+        _ => (place, "80"),
+    };
+    let host_is = host == "localhost" || host == "[::1]";
+    let host_is = host_is || host.parse::<std::net::Ipv4Addr>().is_ok_and(|ip| ip.is_loopback());
+    host_is && port.parse::<u16>().is_ok() && port.bytes().all(|b| b.is_ascii_digit())
+}
+
 fn read_file(key: &str, path: &str) -> Result<String, ConfigError> {
     std::fs::read_to_string(path).map_err(|e| ConfigError::new(key, format!("{path}: {e}")))
 }
@@ -406,9 +421,7 @@
     fn read(node: &Node) -> Result<Self, ConfigError> {
         let directory = node.at("directory")?.some(|n, v| {
             let url = text(n, v)?;
-            // Without TLS anyone on the way could hand out certificates; a loopback has no way.
-            let local = ["http://127.", "http://localhost:", "http://[::1]"];
-            match url.starts_with("https://") || local.iter().any(|l| url.starts_with(l)) {
+            match url.starts_with("https://") || url.strip_prefix("http://").is_some_and(is_loopback) {
                 true => Ok(url),
                 false => n.bad("must be an https URL"),
             }
@@ -457,10 +470,15 @@
     /// lacks what the one before had was most likely cut short or written by mistake, and is turned down whole.
     pub fn read_again(&self) -> Result<Self, ConfigError> {
         let new = Self::from_env()?;
-        Node::root(&new.told).has_all_of(&self.told)?;
+        self.accepts(&new)?;
         Ok(new)
     }
 
+    /// Tells whether another configuration can take the place of this one: it must have all keys of it.
+    pub fn accepts(&self, new: &Self) -> Result<(), ConfigError> {
+        Node::root(&new.told).has_all_of(&self.told)
+    }
+
     /// Where the links lead.
     pub fn links(&self) -> Links {
         Links { agent: self.agent, vault: self.vault, control: self.control }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -7,6 +7,7 @@
 use hopwalk::core::{Answer, Command, End, Notice, Verdict};
 use hopwalk::net::fields::{Bad, Message, Parsed};
 use hopwalk::net::front::Wire;
+use hopwalk::net::inlet::Inlet;
 use hopwalk::net::{agent, control, http::Http, scgi, scgi::Scgi, vault};
 use hopwalk::settings::{Appliance, Config, Site};
 use rstest::rstest;
@@ -37,12 +38,21 @@
     }
 }
 
+/// Reads what is there at once.
+fn read(wire: impl Wire, bytes: &[u8]) -> Result<Option<Message>, Bad> {
+    let mut inlet = Inlet::new(wire);
+    inlet.room().extend(bytes);
+    inlet.next_message().map(|message| message.map(|(message, _)| message))
+}
+
 /// Feeds a message byte by byte: it must be there with its last byte, and not before.
 fn fed(wire: impl Wire, bytes: &[u8]) -> Message {
-    for len in 0..bytes.len() {
-        assert!(wire.parse(&bytes[..len]).unwrap().is_none(), "read whole after {len} bytes");
+    let mut inlet = Inlet::new(wire);
+    for (len, byte) in bytes.iter().enumerate() {
+        assert!(inlet.next_message().unwrap().is_none(), "read whole after {len} bytes");
+        inlet.room().push(*byte);
     }
-    let message = wire.parse(bytes).unwrap().expect("a whole message");
+    let (message, _) = inlet.next_message().unwrap().expect("a whole message");
     assert_eq!(message.taken, bytes.len());
     message
 }
@@ -83,7 +93,7 @@
 #[case::method(http("DELETE /do/a", "", ""), 405)]
 #[case::no_id(b"POST /do/a HTTP/1.1\r\n\r\n".to_vec(), 400)]
 fn bad_http_is_told_what_is_wrong(#[case] bytes: Vec<u8>, #[case] status: u16) {
-    assert_eq!(Http.parse(&bytes).unwrap_err().status, status);
+    assert_eq!(read(Http, &bytes).unwrap_err().status, status);
 }
 
 #[rstest]
@@ -100,14 +110,14 @@
 #[case::long_body([scgi_request(&[], b"abc"), b"d".to_vec()].concat(), 400)]
 #[case::length_twice(scgi_request(&[("CONTENT_LENGTH", "3")], b"abc"), 400)]
 fn bad_scgi_is_told_what_is_wrong(#[case] bytes: Vec<u8>, #[case] status: u16) {
-    assert_eq!(Scgi.parse(&bytes).unwrap_err().status, status);
+    assert_eq!(read(Scgi, &bytes).unwrap_err().status, status);
 }
 
 #[rstest]
 #[case("/check", false)]
 #[case("/check?deep=1", true)]
 fn a_check_tells_how_deep_it_goes(#[case] target: &str, #[case] is_deep: bool) {
-    let message = Http.parse(format!("GET {target} HTTP/1.1\r\n\r\n").as_bytes()).unwrap().unwrap();
+    let message = read(Http, format!("GET {target} HTTP/1.1\r\n\r\n").as_bytes()).unwrap().unwrap();
     assert!(matches!(message.parsed, Parsed::Check { deep } if deep == is_deep));
 }
 
@@ -239,7 +249,9 @@
     let result: Option<hopwalk::core::Bytes> = Some((*b"\0\xff").into());
     let until = Duration::from_micros(1_764_576_000_123_456);
     let state = KeyState { key: key.clone(), what: u64::MAX, until, open: true, result: result.clone() };
-    let heard = |word: Word| -> Vec<_> { word.lines().iter().map(|l| parse(l).expect(l)).collect() };
+    let heard = |word: Word| -> Vec<_> {
+        word.lines().iter().map(|l| parse(l.trim_end_matches('\n')).expect(l)).collect()
+    };
     let complete = Heard::Word(Succession::Complete { standby: true });
     assert_eq!(heard(Word::Keys(vec![state.clone()], true)), [Heard::Word(Succession::Key(state)), complete]);
     for result in [None, Some((*b"").into()), result] {
@@ -266,7 +278,61 @@
         let told = Succession::Answered { conn: 7, answer: answer.clone() };
         assert_eq!(heard(Word::Answer(7, Arc::new(answer))), [Heard::Word(told)]);
     }
-    for bad in ["", "begin", "key a b\n", "answer 7 - served\n", "request 1\n"] {
+    for bad in ["", "begin ", "key a b\n", "answer 7 - served\n", "request 1\n"] {
         assert_eq!(parse(bad), None, "{bad}");
     }
 }
+
+#[test]
+fn a_head_that_comes_byte_by_byte_costs_a_few_times_its_length() {
+    // Guards against a head that is read again from its start with every piece: 33 MB for this one.
+    let bytes = http("POST /do/a", &format!("X-Pad: {}\r\nContent-Length: 2000\r\n", "x".repeat(8000)), "");
+    let mut inlet = Inlet::new(Http);
+    for byte in bytes.iter().chain(&[b'b'; 2000]) {
+        assert!(inlet.next_message().unwrap().is_none());
+        inlet.room().push(*byte);
+    }
+    assert!(inlet.next_message().unwrap().is_some());
+    let (work, len) = (inlet.work(), bytes.len() as u64 + 2000);
+    println!("{work} bytes looked at for {len}");
+    assert!(work < 6 * len);
+}
+
+#[test]
+fn half_a_message_is_told_what_is_wrong_when_nothing_more_comes() {
+    let mut inlet = Inlet::new(Http);
+    inlet.room().extend(b"POST /do/a HTTP/1.1\r\nContent-Length : 3\r\n");
+    assert!(matches!(inlet.next_message(), Ok(None) | Err(_)));
+    assert_eq!(inlet.end().map(|bad| bad.status), Some(400));
+}
+
+#[rstest]
+#[case::bare_line_feed(b"POST /do/a HTTP/1.1\r\nX-A: 1\nX-B: 2\r\n\r\n".to_vec(), 400)]
+#[case::id_twice(http("POST /do/a", "X-Request-Id: 0000000000000001\r\n", ""), 400)]
+#[case::signed_time(http("POST /do/a", "X-Timeout-Ms: +5\r\n", ""), 400)]
+#[case::get(http("GET /do/a", "", ""), 405)]
+#[case::put(http("PUT /do/a", "", ""), 405)]
+fn what_others_could_read_otherwise_is_turned_down(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    assert_eq!(read(Http, &bytes).unwrap_err().status, status);
+}
+
+#[test]
+fn an_answer_of_a_service_whose_length_has_a_blank_is_malformed() {
+    // Guards against an answer that was cut short and passed as whole: the length was no field that counted.
+    let (end, _) = scgi::parse_response(b"Status: 200 OK\r\nContent-Length : 20\r\n\r\nhi");
+    assert_eq!(end, End::Malformed);
+}
+
+#[rstest]
+#[case("http://127.0.0.1:80/d", true)]
+#[case("http://localhost/d", true)]
+#[case("http://[::1]:8080/d", true)]
+#[case("http://127.evil.example/d", false)]
+#[case("http://127.0.0.1@evil.example/d", false)]
+#[case("http://localhost:80@evil.example/", false)]
+fn only_a_loopback_address_is_trusted_without_tls(#[case] directory: &str, #[case] taken: bool) {
+    // Guards against a name that begins like a loopback address, and certificates from whoever owns it.
+    let acme =
+        format!(r#""directory":"{directory}","domains":["a"],"store":"/s","challenge_listen":"0.0.0.0:80""#);
+    assert_eq!(Appliance::parse(&format!(r#"{{"acme":{{{acme}}}}}"#)).is_ok(), taken);
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod appliance;
 mod authority;
+mod corpus;
 mod scgi;
 mod stand_in;
 mod upgrade;
@@ -101,6 +102,18 @@
     assert_eq!((agent.launches().len(), program.counter("links_lost")), (2, 1));
 }
 
+#[test]
+fn a_line_of_brackets_from_the_agent_costs_a_link_and_no_more() {
+    // Guards against a line that is nested so deep that reading it overruns the stack of the link's coroutine.
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(with_agent(&agent));
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"a").http()).status, 200);
+    agent.babble(&[&[b'['; 60_000][..], b"\n"].concat());
+    wait_for("the next link", || agent.subscribed().len() == 2);
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"b").http()).body, b"made:b");
+    assert_eq!(program.counter("links_lost"), 1);
+}
+
 #[rstest]
 #[case::breaks(true, "call_broken")]
 #[case::is_not_there(false, "call_refused")]
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -162,6 +162,11 @@
         self.told.lock().unwrap().subscribed.clone()
     }
 
+    /// Says something that is no notice.
+    pub fn babble(&self, bytes: &[u8]) {
+        self.told.lock().unwrap().link.as_mut().expect("a link").write_all(bytes).unwrap();
+    }
+
     /// Breaks the link; runs go on.
     pub fn cut(&self) {
         let link = self.told.lock().unwrap().link.take().expect("a link to cut");
