--- /dev/null
+++ b/tests/properties.rs
@@ -0,0 +1,177 @@
+//! Properties of the codecs: what is written is read back as it was, on values that proptest makes up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hopwalk::core::{Answer, Bytes, Command, Handle, Key, KeyState, Notice, Request, Succession, Verdict};
+use hopwalk::net::fields::{Message, Parsed};
+use hopwalk::net::front::Wire;
+use hopwalk::net::handover::{parse, Heard, Word};
+use hopwalk::net::inlet::Inlet;
+use hopwalk::net::lines::{Lines, MOST};
+use hopwalk::net::vault::{encode_ask, Replies};
+use hopwalk::net::{agent, http::Http, scgi, scgi::Scgi};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The same cases in every run, and no file of failures.
+fn cases() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+fn bytes(most: usize) -> impl Strategy<Value = Bytes> {
+    prop::collection::vec(any::<u8>(), 0..most).prop_map(Into::into)
+}
+
+fn key() -> impl Strategy<Value = Key> {
+    "[!-~]{1,40}".prop_map(|key| Arc::from(key.as_str()))
+}
+
+prop_compose! {
+    fn handle()(number in any::<u64>()) -> Handle {
+        format!("{number:016x}").parse().unwrap()
+    }
+}
+
+prop_compose! {
+    fn request()(
+        handle in handle(),
+        class in "[a-z][a-z0-9.-]{0,20}",
+        start in 0u64..4_000_000_000_000,
+        patience in prop::option::of(1u64..3_600_000),
+        caller in any::<u32>(),
+        size in 1u32..1_999_000,
+        rank in 0u32..1_000_000,
+        key in prop::option::of(key()),
+        object in any::<bool>(),
+        body in bytes(2048),
+    ) -> Request {
+        Request {
+            conn: 0,
+            handle,
+            class,
+            start: Duration::from_millis(start),
+            patience: patience.map(Duration::from_millis),
+            caller,
+            size_kb: f64::from(size) / 1000.0,
+            rank: f64::from(rank) / 1_000_000.0,
+            key,
+            object,
+            body,
+        }
+    }
+}
+
+/// The fields of a request as the protocol words them.
+fn fields(r: &Request) -> Vec<(&'static str, String)> {
+    let mut all = vec![
+        ("X-Request-Id", r.handle.to_string()),
+        ("X-Request-Start", r.start.as_millis().to_string()),
+        ("X-Caller", r.caller.to_string()),
+        ("X-Memory-Kb", r.size_kb.to_string()),
+        ("X-Rank", r.rank.to_string()),
+    ];
+    all.extend(r.patience.map(|p| ("X-Timeout-Ms", p.as_millis().to_string())));
+    all.extend(r.key.as_ref().map(|k| ("Idempotency-Key", k.to_string())));
+    all.extend(r.object.then(|| ("X-Object", "7f3a9c21e0b4d655".to_string())));
+    all
+}
+
+/// Reads one message that comes in pieces of a length.
+fn read(wire: impl Wire, bytes: &[u8], piece: usize) -> Message {
+    let mut inlet = Inlet::new(wire);
+    for piece in bytes.chunks(piece) {
+        inlet.room().extend(piece);
+        if let Some((message, taken)) = inlet.next_message().unwrap() {
+            assert_eq!(taken, bytes.len());
+            return message;
+        }
+    }
+    panic!("no whole message");
+}
+
+fn the_request(message: Message) -> Request {
+    match message.parsed {
+        Parsed::Request(request) => *request,
+        Parsed::Check { .. } => panic!("this is a check"),
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn a_request_is_the_same_on_both_fronts(r in request(), piece in 1usize..600) {
+        let named: String = fields(&r).iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+        let head = format!("POST /do/{} HTTP/1.1\r\nContent-Length: {}\r\n{named}\r\n", r.class, r.body.len());
+        prop_assert_eq!(&the_request(read(Http, &[head.as_bytes(), &r.body].concat(), piece)), &r);
+
+        let uri = format!("/do/{}", r.class);
+        let upper = |name: &str| format!("HTTP_{}", name.to_ascii_uppercase().replace('-', "_"));
+        let named: Vec<_> = fields(&r).into_iter().map(|(name, value)| (upper(name), value)).collect();
+        let mut all = vec![("REQUEST_METHOD", "POST"), ("REQUEST_URI", uri.as_str())];
+        all.extend(named.iter().map(|(name, value)| (name.as_str(), value.as_str())));
+        prop_assert_eq!(&the_request(read(Scgi, &scgi::encode_request(&all, &r.body), piece)), &r);
+    }
+
+    #[test]
+    fn what_is_handed_over_is_read_as_it_was_said(
+        r in request(),
+        key in key(),
+        what in any::<u64>(),
+        until in 0u64..u64::MAX / 2,
+        open in any::<bool>(),
+        result in prop::option::of(bytes(4096)),
+    ) {
+        let line = |word: Word| word.lines()[0].trim_end_matches('\n').to_string();
+        let state = KeyState { key: key.clone(), what, until: Duration::from_micros(until), open, result: result.clone() };
+        let told = parse(&line(Word::Keys(vec![state.clone()], open)));
+        prop_assert_eq!(told, Some(Heard::Word(Succession::Key(state))));
+        let settled = Succession::Settled { key: key.clone(), ran: open, result: result.clone() };
+        prop_assert_eq!(parse(&line(Word::Settled(key, open, result))), Some(Heard::Word(settled)));
+        prop_assert_eq!(parse(&line(Word::Request(Box::new(r.clone())))), Some(Heard::Request(Box::new(r))));
+    }
+
+    #[test]
+    fn a_notice_brings_the_bytes_that_were_sent(handle in handle(), cursor in 1u64..1 << 53, body in bytes(4096)) {
+        // What the program writes for the agent is base64 as the agent writes it.
+        let mut out = String::new();
+        agent::encode(&Command::Deliver { handle, arg: body.clone() }, &mut out);
+        let line = out.replace("\"deliver\"", &format!("\"request\",\"cursor\":{cursor}"));
+        let (number, notice) = agent::parse(line.trim_end()).unwrap();
+        prop_assert_eq!(number, Some(cursor));
+        let Some(Notice::CallNeeded { handle: whose, body: read, .. }) = notice else { panic!("{notice:?}") };
+        prop_assert_eq!((whose, read), (handle, body));
+    }
+
+    #[test]
+    fn a_reply_brings_the_bytes_that_were_sent(handle in handle(), body in bytes(2048), piece in 1usize..600) {
+        // A call and its reply frame a body alike.
+        let ask = encode_ask(handle, Duration::from_millis(1), &body);
+        let head = format!("ask {handle} 1 {}", body.len());
+        let reply = [format!("{handle} yes {}", body.len()).as_bytes(), &ask[head.len()..]].concat();
+        let (mut lines, mut replies, mut read) = (Lines::new(MOST), Replies::default(), Vec::new());
+        for piece in reply.chunks(piece) {
+            lines.room().extend(piece);
+            read.extend(replies.next_reply(&mut lines).unwrap());
+        }
+        prop_assert_eq!(read.len(), 1);
+        prop_assert_eq!((read[0].0, read[0].2.as_ref()), (handle, Some(&body)));
+    }
+
+    #[test]
+    fn an_answer_over_scgi_is_read_back(body in bytes(4096), signal in prop::option::of(0.0f64..2.0)) {
+        let answer = Answer { verdict: Verdict::Served(body.clone()), signal, close: false };
+        let written = Scgi.encode(&answer, true);
+        let (_, read) = scgi::parse_response(&written);
+        prop_assert_eq!(read, Some(body));
+        for cut in [written.len() - 1, written.len() / 2] {
+            prop_assert!(cut >= written.len() || scgi::parse_response(&written[..cut]).1.is_none());
+        }
+    }
+}
