Let one of two versions decide when the link between them breaks with both alive

Need: writing a world of two reducers for the fuzzer raised the question what happens when the handover's link breaks and nobody died (a process that reads nothing for 2 s, a full queue). Each side took the other for dead: the old one ran unknown keys again after one window while the new one went on running others, and a new one that had half of the keys began to serve. Besides, any client that touched the socket and left had keyed requests refused for 13 s.

Change: net/handover.rs asks the system for the process at the other end and, after the end of the link, whether it lives (a zombie does not). The reducer is told SuccessorLost or PredecessorLost first: the old one refuses what comes until the other is gone; a new one without all keys ends; succession.rs ignores a successor that never began.

The fuzzer's world has the break as a step.

--- a/fuzz/src/bin/hopwalk-fuzz.rs
+++ b/fuzz/src/bin/hopwalk-fuzz.rs
@@ -67,8 +67,11 @@
         #[arg(long, default_value_t = 60)]
         seconds: u64,
         /// Fuzzers at once for each defect
-        #[arg(long, default_value_t = 4)]
+        #[arg(long, default_value_t = 2)]
         jobs: usize,
+        /// Defects at once, each in a copy and a build of its own
+        #[arg(long, default_value_t = 2)]
+        lanes: usize,
         /// Defects by the names of their files; all, unless some are named
         defects: Vec<String>,
     },
@@ -201,11 +204,11 @@
     }
 }
 
-/// Does something for each target, some at once, in order of the targets.
-fn for_each<T: Send>(
-    targets: &[&'static Target],
+/// Does something for each, some at once; the results stand in the order of the targets.
+fn for_each<'a, W: Sync, T: Send>(
+    targets: &[&'a W],
     jobs: usize,
-    work: impl Fn(&'static Target) -> T + Sync,
+    work: impl Fn(&'a W) -> T + Sync,
 ) -> Vec<T> {
     let next = Mutex::new(targets.iter().enumerate());
     let done = Mutex::new(Vec::new());
@@ -422,65 +425,80 @@
     Ok(())
 }
 
-fn planted(seconds: u64, jobs: usize, names: &[String]) -> Done<bool> {
-    let root = root();
-    let (copy, work) = (root.join("target/planted"), root.join("target/planted-work"));
+fn planted(seconds: u64, jobs: usize, lanes: usize, names: &[String]) -> Done<bool> {
+    let (root, defects) = (root(), defects(&root(), names)?);
+    let free = Mutex::new((0..lanes.max(1)).collect::<Vec<_>>());
     println!("| defect | target | replay of the corpus | from nothing, s | what it is |\n| --- | --- | --- | ---: | --- |");
-    let mut missed = 0;
-    for defect in defects(&root, names)? {
-        copy_project(&root, &copy)?;
-        let applied = Command::new("git")
-            .arg("apply")
-            .arg(&defect.patch)
-            .current_dir(&copy)
-            .env("GIT_CEILING_DIRECTORIES", copy.parent().unwrap_or(&copy))
-            .status();
-        if !applied.is_ok_and(|s| s.success()) {
-            return Err(format!("{}: the patch does not apply any more", defect.name));
-        }
-        let fuzzer = build(&copy, &root.join("target/planted-build"))?;
-        let kept = corpus(&root, defect.target);
-        let replayed = fuzz(&fuzzer, defect.target, &work, &[kept], &["-runs=0".to_string()])?;
-        let since = Instant::now();
-        let found_after: Mutex<Option<Duration>> = Mutex::new(None);
-        std::thread::scope(|scope| {
-            for job in 0..jobs {
-                let (fuzzer, work, defect, found_after) = (&fuzzer, &work, &defect, &found_after);
-                scope.spawn(move || {
-                    let folder = work.join(format!("{}-{job}", defect.name));
-                    let _ = fs::remove_dir_all(&folder);
-                    // Short turns, so that all stop soon after one has found it.
-                    for turn in 0.. {
-                        let left = Duration::from_secs(seconds).saturating_sub(since.elapsed()).as_secs();
-                        let over = found_after.lock().unwrap_or_else(PoisonError::into_inner).is_some();
-                        if left == 0 || over {
-                            return;
-                        }
-                        let options = [
-                            format!("-max_total_time={}", left.min(5)),
-                            format!("-seed={}", 1 + job * 1000 + turn),
-                        ];
-                        if fuzz(fuzzer, defect.target, work, std::slice::from_ref(&folder), &options)
-                            .is_ok_and(|f| f.found)
-                        {
-                            let mut first = found_after.lock().unwrap_or_else(PoisonError::into_inner);
-                            first.get_or_insert(since.elapsed());
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        let after = found_after.into_inner().unwrap_or_else(PoisonError::into_inner);
-        let shown = after.map_or("not found".to_string(), |t| format!("{:.1}", t.as_secs_f64()));
-        let by_replay = if replayed.found { "found" } else { "not found" };
-        println!("| {} | {} | {by_replay} | {shown} | {} |", defect.name, defect.target.name, defect.about);
-        missed += usize::from(after.is_none() && !replayed.found);
-    }
-    println!("\n{missed} not found at all");
+    let all: Vec<&Defect> = defects.iter().collect();
+    let found = for_each(&all, lanes, |defect| {
+        let lane = free.lock().unwrap_or_else(PoisonError::into_inner).pop().unwrap_or(0);
+        let row = plant(&root, defect, seconds, jobs, lane);
+        free.lock().unwrap_or_else(PoisonError::into_inner).push(lane);
+        let (row, found) = row?;
+        println!("{row}");
+        Ok::<_, String>(found)
+    });
+    let found: Vec<bool> = found.into_iter().collect::<Done<_>>()?;
+    let missed = found.iter().filter(|found| !**found).count();
+    println!("\n{} planted, {missed} not found", found.len());
     Ok(missed == 0)
 }
 
+/// Plants one defect, and tells whether the corpus and fuzzers that start from nothing find it.
+fn plant(root: &Path, defect: &Defect, seconds: u64, jobs: usize, lane: usize) -> Done<(String, bool)> {
+    let place = root.join("target").join(format!("planted-{lane}"));
+    let (copy, work) = (place.join("copy"), place.join("work"));
+    copy_project(root, &copy)?;
+    let applied = Command::new("git")
+        .arg("apply")
+        .arg(&defect.patch)
+        .current_dir(&copy)
+        // Or it would look for the files in the repository around the copy.
+        .env("GIT_CEILING_DIRECTORIES", &place)
+        .status();
+    if !applied.is_ok_and(|status| status.success()) {
+        return Err(format!("{}: the patch does not apply any more", defect.name));
+    }
+    let fuzzer = build(&copy, &place.join("build"))?;
+    let kept = corpus(root, defect.target);
+    let replayed = fuzz(&fuzzer, defect.target, &work, &[kept], &["-runs=0".to_string()])?;
+    let since = Instant::now();
+    let found_after: Mutex<Option<Duration>> = Mutex::new(None);
+    let one = |job: usize| {
+        let folder = work.join(format!("{}-{job}", defect.name));
+        let _ = fs::remove_dir_all(&folder);
+        // Short turns, so that all stop soon after one has found it.
+        for turn in 0.. {
+            let left = Duration::from_secs(seconds).saturating_sub(since.elapsed()).as_secs();
+            if left == 0 || found_after.lock().unwrap_or_else(PoisonError::into_inner).is_some() {
+                return;
+            }
+            let options =
+                [format!("-max_total_time={}", left.min(5)), format!("-seed={}", 1 + job * 1000 + turn)];
+            if fuzz(&fuzzer, defect.target, &work, std::slice::from_ref(&folder), &options)
+                .is_ok_and(|f| f.found)
+            {
+                found_after.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(since.elapsed());
+                return;
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        for job in 0..jobs {
+            let one = &one;
+            scope.spawn(move || one(job));
+        }
+    });
+    let after = found_after.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let shown = after.map_or("not found".to_string(), |t| format!("{:.1}", t.as_secs_f64()));
+    let by_replay = if replayed.found { "found" } else { "not found" };
+    let (name, target, about) = (&defect.name, defect.target.name, &defect.about);
+    Ok((
+        format!("| {name} | {target} | {by_replay} | {shown} | {about} |"),
+        after.is_some() || replayed.found,
+    ))
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().what {
         What::List => {
@@ -493,7 +511,7 @@
         What::Minimise { targets } => minimise(&targets),
         What::Replay { target, files } => replay(&target, &files),
         What::Cover { targets } => cover(&targets),
-        What::Planted { seconds, jobs, defects } => planted(seconds, jobs, &defects),
+        What::Planted { seconds, jobs, lanes, defects } => planted(seconds, jobs, lanes, &defects),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -109,11 +109,19 @@
     passed: BTreeMap<ConnId, ConnId>,
 }
 
+/// A line, or what a process notices of the link itself.
+enum Told {
+    Line(String),
+    Is(Succession),
+}
+
 /// Lines on their way between the processes, and the end of the link behind them.
 #[derive(Default)]
 struct Pipe {
     up: bool,
-    to: [VecDeque<Option<String>>; 2],
+    to: [VecDeque<Told>; 2],
+    /// The link broke with both alive.
+    cut: bool,
 }
 
 struct World {
@@ -231,6 +239,10 @@
                 }
             }
             Effect::Listen | Effect::Alone => self.nodes[n].serving |= self.nodes[n].drained.is_none(),
+            Effect::GiveUp => {
+                assert!(n == 1 && !self.nodes[n].serving, "gives up while it serves");
+                self.end(n, usize::MAX);
+            }
             Effect::StopListening | Effect::Yield => self.nodes[n].serving = false,
             Effect::Leave => {
                 let waiting = &self.nodes[n].conns;
@@ -441,7 +453,7 @@
     fn say(&mut self, n: usize, word: &Word) {
         if self.pipe.up {
             let lines = word.lines().into_iter();
-            self.pipe.to[1 - n].extend(lines.map(|line| Some(line.trim_end_matches('\n').to_string())));
+            self.pipe.to[1 - n].extend(lines.map(|line| Told::Line(line.trim_end_matches('\n').to_string())));
         }
     }
 
@@ -452,26 +464,43 @@
         node.conns.clear();
         node.calls.clear();
         node.wire.clear();
-        if self.pipe.up && self.nodes.len() > 1 {
-            self.pipe.up = false;
-            self.pipe.to[1 - n].truncate(heard);
-            self.pipe.to[1 - n].push_back(None);
+        if (self.pipe.up || self.pipe.cut) && self.nodes.len() > 1 {
+            if self.pipe.up {
+                self.pipe.to[1 - n].truncate(heard);
+            }
+            (self.pipe.up, self.pipe.cut) = (false, false);
+            let gone = [Succession::PredecessorGone, Succession::SuccessorGone][n].clone();
+            self.pipe.to[1 - n].push_back(Told::Is(gone));
             self.pipe.to[n].clear();
         }
     }
 
+    /// The link between the processes breaks with both alive; some of what was said is still read.
+    fn part(&mut self, heard: usize) {
+        if !self.pipe.up || !self.nodes.iter().all(|n| n.up) {
+            return;
+        }
+        (self.pipe.up, self.pipe.cut) = (false, true);
+        for (n, lost) in [Succession::SuccessorLost, Succession::PredecessorLost].into_iter().enumerate() {
+            self.pipe.to[n].truncate(heard);
+            self.pipe.to[n].push_back(Told::Is(lost));
+        }
+    }
+
     fn pump(&mut self, most: usize) {
         for _ in 0..most {
             if self.pipe.to.iter().all(VecDeque::is_empty) {
                 return;
             }
             for n in 0..self.nodes.len() {
-                let Some(line) = self.pipe.to[n].pop_front() else { continue };
-                let input = match line.as_deref().map(|line| handover::parse(line).expect("a word")) {
-                    None if n == 0 => Input::Succession(Succession::SuccessorGone),
-                    None => Input::Succession(Succession::PredecessorGone),
-                    Some(Heard::Word(word)) => Input::Succession(word),
-                    Some(Heard::Request(mut request)) => {
+                let Some(told) = self.pipe.to[n].pop_front() else { continue };
+                let heard = match told {
+                    Told::Line(line) => handover::parse(&line).expect("a word"),
+                    Told::Is(word) => Heard::Word(word),
+                };
+                let input = match heard {
+                    Heard::Word(word) => Input::Succession(word),
+                    Heard::Request(mut request) => {
                         let conn = self.new_number();
                         let there = std::mem::replace(&mut request.conn, conn);
                         self.nodes[n].passed.insert(conn, there);
@@ -663,7 +692,9 @@
             }
             22 if two => self.pump(usize::from(pick)),
             23 if two => {
-                if pick & 30 == 30 && self.nodes.len() > 1 && self.nodes[n].up {
+                if pick & 30 == 28 && self.nodes.len() > 1 {
+                    self.part(usize::from(u.arbitrary::<u8>()?));
+                } else if pick & 30 == 30 && self.nodes.len() > 1 && self.nodes[n].up {
                     self.end(n, usize::from(u.arbitrary::<u8>()?));
                 }
             }
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -23,6 +23,10 @@
     pub(super) yields: bool,
     /// Connections whose request was passed on and not answered yet.
     pub(super) passed_on: HashSet<ConnId>,
+    /// The process that decides lives on, but nothing can be passed on to it any more.
+    lost: bool,
+    /// The old process has handed all keys over.
+    complete: bool,
     /// The new process went away: until then it may have run keys that nobody here knows of.
     barred_until: Duration,
 }
@@ -48,18 +52,17 @@
                 self.keys.inherit(state, id);
             }
             Succession::Complete { standby } => {
+                self.partner.complete = true;
                 // A drain ends when operators say so, not with a new version.
                 self.standby |= standby;
                 self.effects.push(Effect::Listen);
             }
             Succession::Settled { key, ran, result } => self.settled(now, &key, ran, result),
+            // Some keys are missing here, and it runs them: it decides, and this process does not.
+            Succession::PredecessorLost if !self.partner.complete => self.effects.push(Effect::GiveUp),
+            Succession::PredecessorLost => self.end_waits(now),
             Succession::PredecessorGone => {
-                // What it had open has ended, nobody knows how: the keys stay taken.
-                self.partner.open.clear();
-                let mut waiters: Vec<_> =
-                    self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
-                waiters.sort_unstable();
-                waiters.into_iter().for_each(|id| self.end_join(now, id, None));
+                self.end_waits(now);
                 self.effects.push(Effect::Alone);
             }
             Succession::Begin => {
@@ -73,14 +76,17 @@
                     self.effects.push(Effect::Answer { conn, answer: answer.into() });
                 }
             }
+            // It runs keys that nobody here hears of: nothing may begin here until it is gone.
+            Succession::SuccessorLost if self.partner.yields => {
+                self.partner.lost = true;
+                self.fail_passed_on();
+            }
+            // Nothing was handed over to it.
+            Succession::SuccessorLost => {}
+            Succession::SuccessorGone if !self.partner.yields => {}
             Succession::SuccessorGone => {
-                self.partner.yields = false;
-                let mut open: Vec<_> = self.partner.passed_on.drain().collect();
-                open.sort_unstable();
-                for conn in open {
-                    self.open -= 1;
-                    self.answer(conn, Verdict::Failed);
-                }
+                (self.partner.yields, self.partner.lost) = (false, false);
+                self.fail_passed_on();
                 let windows = self.site.settings.classes.iter().map(|c| c.window);
                 self.partner.barred_until = now + windows.max().unwrap_or_default();
                 self.effects.push(Effect::Alone);
@@ -88,8 +94,31 @@
         }
     }
 
+    /// What the old process had open has ended, or ends unheard: the keys stay taken.
+    fn end_waits(&mut self, now: Duration) {
+        self.partner.open.clear();
+        let mut waiters: Vec<_> = self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
+        waiters.sort_unstable();
+        waiters.into_iter().for_each(|id| self.end_join(now, id, None));
+    }
+
+    /// What was passed on may have run there, and its answer will not come.
+    fn fail_passed_on(&mut self) {
+        let mut open: Vec<_> = self.partner.passed_on.drain().collect();
+        open.sort_unstable();
+        for conn in open {
+            self.open -= 1;
+            self.answer(conn, Verdict::Failed);
+        }
+    }
+
     /// Passes a request on to the process that decides now.
     pub(super) fn pass_on(&mut self, now: Duration, request: Request) {
+        if self.partner.lost {
+            self.counters.refused += 1;
+            let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
+            return self.answer(request.conn, refusal);
+        }
         let longest = self.site.settings.classes.iter().map(|c| c.give_up).max();
         let due = request.start.min(now) + request.patience.or(longest).unwrap_or_default();
         self.partner.passed_on.insert(request.conn);
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -146,6 +146,8 @@
     },
     /// The new process is gone.
     SuccessorGone,
+    /// The link to the new process broke, and it lives on.
+    SuccessorLost,
     /// A key that the old process handed over.
     Key(KeyState),
     /// All keys were handed over.
@@ -164,6 +166,8 @@
     },
     /// The old process is gone.
     PredecessorGone,
+    /// The link to the old process broke, and it lives on.
+    PredecessorLost,
 }
 
 /// What the console may ask the reducer.
@@ -367,6 +371,8 @@
     Listen,
     /// There is no other process any more.
     Alone,
+    /// This process cannot take over, and must not serve.
+    GiveUp,
     /// Take no new connections, and let those that are open end: the other process serves on.
     Yield,
     /// Take no new connections.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -12,10 +12,12 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
+use nix::sys::socket::getsockopt;
+use nix::sys::socket::sockopt::PeerCredentials;
 use tracing::{info, warn};
 
 use super::front::read_some;
@@ -29,6 +31,10 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 /// The longest line: a result or a body, and a key.
 const MOST_LINE: usize = 64 << 10;
+/// A process that ends closes its links a little before it is gone.
+const END_PATIENCE: Duration = Duration::from_millis(200);
+/// Time between two looks whether it is gone.
+const END_LOOK: Duration = Duration::from_millis(10);
 /// Stack of the link's threads: their buffers are on the heap.
 const STACK: usize = 128 << 10;
 
@@ -99,7 +105,7 @@
     }
 
     /// Tells the reducer what the other process says, until it is gone.
-    fn listen(&self, stream: UnixStream, hub: &Hub, gone: Succession) {
+    fn listen(&self, stream: UnixStream, hub: &Hub) {
         let mut lines = Lines::new(MOST_LINE);
         loop {
             let line = match lines.line() {
@@ -126,7 +132,6 @@
         if let Some(link) = self.lock().take() {
             let _ = link.stream.shutdown(Shutdown::Both);
         }
-        hub.push(Input::Succession(gone));
     }
 }
 
@@ -146,6 +151,34 @@
     }
 }
 
+/// The process at the other end.
+fn process_of(stream: &UnixStream) -> Option<i32> {
+    getsockopt(stream, PeerCredentials).ok().map(|other| other.pid()).filter(|pid| *pid > 0)
+}
+
+/// It has not ended; one that waits for its parent to ask for its status has.
+fn is_alive(process: i32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    stat.rsplit_once(") ").is_some_and(|(_, state)| !state.starts_with(['Z', 'X']))
+}
+
+/// The link is over: tells the reducer that the other process is gone, as soon as it is. A link can break with both
+/// alive, if one of them stood still for long; then the reducer is told that first, for two must not decide.
+fn ended(other: Option<i32>, hub: &Hub, lost: Succession, gone: Succession) {
+    let since = Instant::now();
+    let mut lost = Some(lost);
+    while other.is_some_and(is_alive) {
+        if since.elapsed() > END_PATIENCE {
+            if let Some(lost) = lost.take() {
+                warn!("the link to the other process broke, and it lives on");
+                hub.push(Input::Succession(lost));
+            }
+        }
+        thread::sleep(END_LOOK);
+    }
+    hub.push(Input::Succession(gone));
+}
+
 /// Connects to the process that serves already, if there is one.
 pub(super) fn find(path: &Path, hub: &Arc<Hub>) -> Option<Partner> {
     let stream = UnixStream::connect(path).ok()?;
@@ -153,7 +186,11 @@
     let started = stream.try_clone().and_then(|reads| {
         partner.open(stream)?;
         let (partner, hub) = (partner.clone(), hub.clone());
-        let listen = move || partner.listen(reads, &hub, Succession::PredecessorGone);
+        let listen = move || {
+            let other = process_of(&reads);
+            partner.listen(reads, &hub);
+            ended(other, &hub, Succession::PredecessorLost, Succession::PredecessorGone);
+        };
         thread::Builder::new().stack_size(STACK).spawn(listen)
     });
     started.map_err(|e| warn!("no link to the process that runs: {e}")).ok()?;
@@ -172,7 +209,11 @@
         // One after the other: a second process finds nobody until the first is gone.
         for stream in listener.incoming().flatten() {
             match stream.try_clone().and_then(|reads| partner.open(stream).map(|()| reads)) {
-                Ok(reads) => partner.listen(reads, &hub, Succession::SuccessorGone),
+                Ok(reads) => {
+                    let other = process_of(&reads);
+                    partner.listen(reads, &hub);
+                    ended(other, &hub, Succession::SuccessorLost, Succession::SuccessorGone);
+                }
                 Err(e) => warn!("no link to the process that takes over: {e}"),
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -588,6 +588,9 @@
                 self.take_callers();
                 self.predecessor = None;
             }
+            Effect::GiveUp => {
+                self.fault = Some("handover: the process that runs broke it off, and serves on".to_string());
+            }
             Effect::Yield => {
                 info!("leaves to the process that took over: counters so far: {}", self.core.counters());
                 self.hub.yields.store(true, Ordering::Relaxed);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -615,3 +615,32 @@
     new.send(5, "lobby-confirm", Some("run"));
     assert_eq!(new.launches(), 0);
 }
+
+#[test]
+fn a_process_whose_successor_is_lost_refuses_until_it_is_gone() {
+    let mut bench = Bench::new();
+    bench.step(0, [Input::Succession(Succession::Begin)]);
+    let refused = |effects: &[Effect]| {
+        let is = |e: &Effect| matches!(e, Effect::Answer { answer, .. } if matches!(answer.verdict, Verdict::Refused { .. }));
+        effects.iter().any(is)
+    };
+    bench.step(1, [Input::Succession(Succession::SuccessorLost)]);
+    let request = bench.request(2, "queue-status", None);
+    assert!(refused(&bench.step(2, [request])));
+    bench.step(3, [Input::Succession(Succession::SuccessorGone)]);
+    let request = bench.request(4, "queue-status", None);
+    let effects = bench.step(4, [request]);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Agent(Command::Launch { .. }))), "{effects:?}");
+    // The one that is gone may have run any key.
+    let request = bench.request(5, "lobby-confirm", Some("k"));
+    assert!(refused(&bench.step(5, [request])));
+}
+
+#[test]
+fn a_process_that_lacks_keys_gives_up_while_the_one_that_has_them_lives() {
+    let mut bench = Bench::new();
+    assert!(bench.step(0, [Input::Succession(Succession::PredecessorLost)]).contains(&Effect::GiveUp));
+    let mut bench = Bench::new();
+    bench.step(0, [Input::Succession(Succession::Complete { standby: false })]);
+    assert!(!bench.step(1, [Input::Succession(Succession::PredecessorLost)]).contains(&Effect::GiveUp));
+}
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -292,7 +292,7 @@
     pub control: UdpSocket,
     config: String,
     appliance: String,
-    dir: Arc<Scratch>,
+    pub dir: Arc<Scratch>,
 }
 
 /// Parts of the configuration that tests set.
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -96,3 +96,36 @@
         assert_eq!(new.call("POST", "/undrain"), 200);
     }
 }
+
+#[test]
+fn a_link_that_breaks_with_both_alive_leaves_one_that_decides() {
+    // Guards against two processes that both run keys: after a break each one took the other for dead.
+    let agent = Agent::start(1, QUICK, false);
+    let old = Program::start(with_agent(&agent));
+    assert_eq!(exchange(old.http, &Ask::keyed("a", b"x").http()).status, 200);
+    // This test is the new process: it has the keys, and then hangs up and lives on.
+    let mut link = std::os::unix::net::UnixStream::connect(old.dir.path("hopwalk-n7.sock")).unwrap();
+    link.write_all(b"begin\n").unwrap();
+    let (mut told, mut chunk) = (String::new(), [0; 1024]);
+    while !told.contains("complete") {
+        let len = link.read(&mut chunk).unwrap();
+        assert!(len > 0, "{told}");
+        told += std::str::from_utf8(&chunk[..len]).unwrap();
+    }
+    drop(link);
+    old.wait_for_log("it lives on");
+    for ask in [Ask::keyed("a", b"x"), Ask::keyed("b", b"x"), Ask::new("queue-status", b"x")] {
+        assert_eq!(exchange(old.http, &ask.http()).status, 503);
+    }
+    assert_eq!(agent.launches().len(), 1, "nothing begins here any more");
+}
+
+#[test]
+fn a_client_of_the_handover_socket_that_says_nothing_changes_nothing() {
+    // Guards against keys that are refused for their whole window after anybody touched the socket.
+    let agent = Agent::start(1, QUICK, false);
+    let old = Program::start(with_agent(&agent));
+    drop(std::os::unix::net::UnixStream::connect(old.dir.path("hopwalk-n7.sock")).unwrap());
+    old.wait_for_log("it lives on");
+    assert_eq!(exchange(old.http, &Ask::keyed("b", b"x").http()).status, 200);
+}
