Forgive in the fuzzer's world the keys of a process that died before it handed them over

Seen: succession found a second run of a key whose first run began through a process that was killed before its handover was complete. Ruled out a fault of the program: keys live in memory and end with the process, as README says, and the rule counts within one life; the lines at fault are the world's own books. The world forgets what ran when a process that has not all keys hears that the other is gone.

--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -122,6 +122,8 @@
     to: [VecDeque<Told>; 2],
     /// The link broke with both alive.
     cut: bool,
+    /// All keys were handed over.
+    complete: bool,
 }
 
 struct World {
@@ -498,6 +500,14 @@
                     Told::Line(line) => handover::parse(&line).expect("a word"),
                     Told::Is(word) => Heard::Word(word),
                 };
+                match &heard {
+                    Heard::Word(Succession::Complete { .. }) => self.pipe.complete = true,
+                    // It died with all its keys, as a process that is killed does: this one begins with none.
+                    Heard::Word(Succession::PredecessorGone) if !self.pipe.complete => {
+                        self.asked.values_mut().for_each(|asked| asked.ran = false);
+                    }
+                    _ => {}
+                }
                 let input = match heard {
                     Heard::Word(word) => Input::Succession(word),
                     Heard::Request(mut request) => {
