Count the lines that the corpus reaches, once for all copies the compiler makes

Need: regions counted each copy of generic code (three of the inlet, five of the fields), so that a file whose every line was reached showed 25 %.

--- a/fuzz/src/bin/hopwalk-fuzz.rs
+++ b/fuzz/src/bin/hopwalk-fuzz.rs
@@ -1,7 +1,6 @@
 //! Runs, minimises, replays and measures the fuzz targets, and plants defects to see which are found.
 
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
@@ -56,8 +55,11 @@
         /// Files with inputs; the whole corpus of the target if there is none
         files: Vec<PathBuf>,
     },
-    /// Prints the regions of each target's files that its corpus reaches, as a table
+    /// Prints the lines of each target's files that its corpus reaches, as a table
     Cover {
+        /// Names the lines that no target reaches
+        #[arg(long)]
+        missing: bool,
         /// The targets; all, unless some are named
         targets: Vec<String>,
     },
@@ -314,48 +316,43 @@
     Ok(true)
 }
 
-/// Regions of each file of the project: how many there are, and how many were reached.
-fn regions(fuzzer: &Path, cover: &Path) -> Done<BTreeMap<String, (usize, usize)>> {
+/// For each file of the project the lines that have a place that is counted, and whether any was reached. A line
+/// stands for all copies that the compiler made of it: one for each type of a generic part, and for each place that it
+/// was put inline.
+type Lines = BTreeMap<String, BTreeMap<u32, bool>>;
+
+fn reached_lines(fuzzer: &Path, cover: &Path) -> Done<Lines> {
     let loader = addr2line::Loader::new(fuzzer).map_err(|e| format!("{}: {e}", fuzzer.display()))?;
     let text = fs::read_to_string(cover).map_err(|e| format!("{}: {e}", cover.display()))?;
     let root = root();
-    let mut files = BTreeMap::new();
+    let mut files = Lines::new();
     for line in text.lines() {
         let (at, reached) = line.split_once(' ').ok_or("a line without a mark")?;
         let at = u64::from_str_radix(at, 16).map_err(|e| e.to_string())?;
         // Code that was put inline belongs to the function of this project that it was put into.
         let mut frames = loader.find_frames(at).map_err(|e| e.to_string())?;
         while let Ok(Some(frame)) = frames.next() {
-            let file = frame.location.and_then(|l| l.file).unwrap_or("");
-            let file =
-                Path::new(file).strip_prefix(&root).unwrap_or(Path::new(file)).to_string_lossy().into_owned();
-            if file.starts_with("src/") {
-                let (all, seen) = files.entry(file).or_insert((0, 0));
-                *all += 1;
-                *seen += usize::from(reached == "1");
-                break;
-            }
-            if let Some(at) = file.find("/src/bin/hopwalk-adapter/") {
-                let (all, seen) = files.entry(file[at + 1..].to_string()).or_insert((0, 0));
-                *all += 1;
-                *seen += usize::from(reached == "1");
-                break;
-            }
+            let Some(location) = frame.location else { continue };
+            let (Some(file), Some(line)) = (location.file, location.line) else { continue };
+            let file = Path::new(file).strip_prefix(&root).unwrap_or(Path::new(file)).to_string_lossy();
+            let ours = match file.find("/src/bin/hopwalk-adapter/") {
+                Some(at) => &file[at + 1..],
+                None if file.starts_with("src/") => &file,
+                None => continue,
+            };
+            *files.entry(ours.to_string()).or_default().entry(line).or_default() |= reached == "1";
+            break;
         }
     }
     Ok(files)
 }
 
-fn cover(names: &[String]) -> Done<bool> {
+fn cover(names: &[String], missing: bool) -> Done<bool> {
     let (root, targets) = (root(), chosen(names)?);
     let work = root.join("target/fuzz-work");
     let fuzzer = build(&root, &root.join("target/fuzz"))?;
-    println!(
-        "| target | inputs | file | regions reached | of | % |\n| --- | ---: | --- | ---: | ---: | ---: |"
-    );
-    let rows = for_each(&targets, 4, |target| {
+    let covered = for_each(&targets, 4, |target| {
         let (file, kept) = (work.join(format!("{}.cover", target.name)), corpus(&root, target));
-        let inputs = fs::read_dir(&kept).map_or(0, Iterator::count);
         fs::create_dir_all(&work).map_err(|e| e.to_string())?;
         let out = Command::new(&fuzzer)
             .env("HOPWALK_TARGET", target.name)
@@ -367,17 +364,30 @@
         if !out.status.success() {
             return Err(format!("{}: {}", target.name, cause(&String::from_utf8_lossy(&out.stderr))));
         }
-        let files = regions(&fuzzer, &file)?;
-        let mut rows = String::new();
+        Ok((*target, fs::read_dir(&kept).map_or(0, Iterator::count), reached_lines(&fuzzer, &file)?))
+    });
+    let covered: Vec<_> = covered.into_iter().collect::<Done<_>>()?;
+    let mut all = Lines::new();
+    for (file, lines) in covered.iter().flat_map(|(_, _, files)| files) {
+        for (line, reached) in lines {
+            *all.entry(file.clone()).or_default().entry(*line).or_default() |= reached;
+        }
+    }
+    let count = |lines: Option<&BTreeMap<u32, bool>>| lines.map_or(0, |l| l.values().filter(|r| **r).count());
+    println!("| target | inputs | file | lines it reaches | all targets | of | % |");
+    println!("| --- | ---: | --- | ---: | ---: | ---: | ---: |");
+    for (target, inputs, files) in &covered {
         for file in target.files {
-            let (all, seen) = files.get(*file).copied().unwrap_or_default();
-            let share = seen as f64 * 100.0 / all.max(1) as f64;
-            let _ = writeln!(rows, "| {} | {inputs} | `{file}` | {seen} | {all} | {share:.0} |", target.name);
+            let (own, together) = (count(files.get(*file)), count(all.get(*file)));
+            let there = all.get(*file).map_or(0, BTreeMap::len);
+            let share = together as f64 * 100.0 / there.max(1) as f64;
+            println!("| {} | {inputs} | `{file}` | {own} | {together} | {there} | {share:.0} |", target.name);
         }
-        Ok(rows)
-    });
-    for row in rows {
-        print!("{}", row?);
+    }
+    for (file, lines) in all.iter().filter(|_| missing) {
+        let left: Vec<String> =
+            lines.iter().filter(|(_, r)| !**r).map(|(line, _)| line.to_string()).collect();
+        println!("{file}: {}", left.join(" "));
     }
     Ok(true)
 }
@@ -510,7 +520,7 @@
         What::Run { seconds, jobs, targets } => run(seconds, jobs, &targets),
         What::Minimise { targets } => minimise(&targets),
         What::Replay { target, files } => replay(&target, &files),
-        What::Cover { targets } => cover(&targets),
+        What::Cover { missing, targets } => cover(&targets, missing),
         What::Planted { seconds, jobs, lanes, defects } => planted(seconds, jobs, lanes, &defects),
     };
     match done {
--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hopwalk::console::{self, Word as ConsoleWord};
-use hopwalk::core::{End, Notice, Succession};
+use hopwalk::core::{Command, End, Notice, Succession};
 use hopwalk::json;
 use hopwalk::net::agent::{self, next_notice};
 use hopwalk::net::handover::{self, Heard, Word};
@@ -108,9 +108,22 @@
     // Each command is one line that any reader of JSON takes.
     for notice in all {
         if let Notice::CallNeeded { handle, body, .. } = notice {
-            let mut out = String::new();
-            agent::encode(&hopwalk::core::Command::Deliver { handle, arg: body }, &mut out);
-            assert!(out.ends_with('\n') && out.matches('\n').count() == 1 && json::parse(&out).is_ok());
+            let (patience, cursor) = (Duration::ZERO, 1);
+            let class = String::from_utf8_lossy(&body).as_ref().into();
+            let commands = [
+                Command::Launch { handle, class, arg: body.clone(), patience },
+                Command::Deliver { handle, arg: body },
+                Command::Freeze { handle },
+                Command::Thaw { handle },
+                Command::Forgo { handle, cursor },
+                Command::Sample { ticket: 1 },
+                Command::Sync,
+            ];
+            for command in commands {
+                let mut out = String::new();
+                agent::encode(&command, &mut out);
+                assert!(out.ends_with('\n') && out.matches('\n').count() == 1 && json::parse(&out).is_ok());
+            }
         }
     }
 }
--- a/fuzz/src/targets/mod.rs
+++ b/fuzz/src/targets/mod.rs
@@ -91,6 +91,12 @@
     "true",
 ];
 
+/// As long as a line at the console may be.
+const LONG_WORD: &str = match std::str::from_utf8(&[b'x'; 256]) {
+    Ok(word) => word,
+    Err(_) => "",
+};
+
 /// All targets.
 pub const TARGETS: &[Target] = &[
     Target {
@@ -172,7 +178,7 @@
         about: "words at the console, and its answers",
         files: &["src/console.rs"],
         most_len: 1024,
-        words: &["status\n", "drain\n", "counters", "quit"],
+        words: &["status\n", "drain\n", "counters", "quit", LONG_WORD],
         run: codecs::console,
     },
     Target {
