--- a/fuzz/src/targets/framing.rs
+++ b/fuzz/src/targets/framing.rs
@@ -105,6 +105,8 @@
 fn unambiguous(bytes: &[u8], message: &Message) {
     let start = bytes.iter().position(|b| !b"\r\n".contains(b)).expect("a head");
     let end = bytes.windows(4).skip(start).position(|w| w == b"\r\n\r\n").expect("the end of a head") + start;
+    let head = &bytes[..end + 4];
+    assert!(!head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r'), "a line feed alone");
     let mut lines = bytes[start..end].split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l));
     let mut lengths = Vec::new();
     let first = lines.next().expect("a first line");
