--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,6 +127,14 @@
     }
 }
 
+/// An amount of memory. More than a petabyte is a mistake, and would overflow sums of them later.
+fn kilobytes(node: &Node, value: &JsonValue) -> Result<f64, ConfigError> {
+    match number(node, value)? {
+        kb if kb <= 1e12 => Ok(kb),
+        _ => node.bad("is more than a petabyte"),
+    }
+}
+
 fn whole(node: &Node, value: &JsonValue) -> Result<u32, ConfigError> {
     let x = number(node, value)?;
     if x.fract() != 0.0 || x > f64::from(u32::MAX) {
@@ -217,9 +225,9 @@
         let word = |node: Node| node.or(String::new(), text);
         let settings = Settings {
             cores: sp.at("cores")?.some(whole)?,
-            memory_kb: sp.at("memory_kb")?.some(number)?,
+            memory_kb: sp.at("memory_kb")?.some(kilobytes)?,
             run_factor: sp.at("run_factor")?.some(number)?,
-            key_kb: sp.at("kb_per_key")?.or(0.0, number)?,
+            key_kb: sp.at("kb_per_key")?.or(0.0, kilobytes)?,
             servers: node.at("servers")?.some(whole)?,
             entry: node.at("tier")?.or(0, whole)? == 0,
             callers: sp.at("senders")?.or(0, whole)?,
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -211,6 +211,7 @@
 #[case("\"cores\": 6", "\"cores\": 1.5", "specifics.cores: is no whole number of this size")]
 #[case("\"worth\": 10.0", "\"worth\": \"much\"", "profiles[2].worth: is no number")]
 #[case("\"run_factor\": 16.0", "\"run_factor\": -1", "specifics.run_factor: is negative or not finite")]
+#[case("\"kb_per_key\": 117.75", "\"kb_per_key\": 1e300", "specifics.kb_per_key: is more than a petabyte")]
 #[case("\"run_factor\": 16.0", "\"run_factor\": null", "specifics.run_factor: is missing")]
 fn faulty_settings_name_the_key(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
     assert!(SITE.contains(from));
