--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -13,7 +13,7 @@
 use hopwalk::net::handover::{self, Heard, Word};
 use hopwalk::settings::Site;
 
-const SITE: &str = include_str!("../../../tests/site.json");
+const SITE: &str = include_str!("../../../src/lab/site.json");
 /// A break of the agent's link loses what was said so shortly before it.
 const IN_FLIGHT: Duration = Duration::from_millis(50);
 /// The rules allow an answer to come so late.
--- /dev/null
+++ b/src/lab/check.rs
@@ -0,0 +1,277 @@
+//! The four rules seen from outside, over a history: no I/O, so that doctored histories test it.
+//!
+//! - `lost`: a request that was sent got no final answer. One whose matcher was killed between its send and its
+//!   due time is counted apart as `lost_with_kill`: the rules bind the survivors.
+//! - `double`: more than one final answer.
+//! - `late`: the answer came after the due time and the slack.
+//! - `run_twice`: one request, or one key, was started by more than one run.
+//! - `refused_after_run`: a request was turned away (503: "this try never ran") although it had a run.
+//!
+//! A drain that loses what it read shows as `lost` of a matcher that was stopped, not killed.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use super::history::{Event, Record};
+
+/// Ids named for each rule, at most.
+pub const NAMED: usize = 20;
+
+/// The verdict over one history.
+#[derive(Debug, Default, PartialEq)]
+pub struct Verdict {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers by status.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Count by rule, the excused `lost_with_kill` included; every rule is present, also at zero.
+    pub counts: BTreeMap<&'static str, u64>,
+    /// The first ids at fault, by rule.
+    pub named: BTreeMap<&'static str, Vec<String>>,
+    /// Lines that the recorder dropped: the history is incomplete when not zero.
+    pub dropped: u64,
+}
+
+/// The rules, in the order they are printed; `lost_with_kill` is no break.
+pub const RULES: [&str; 6] = ["lost", "double", "late", "run_twice", "refused_after_run", "lost_with_kill"];
+
+impl Verdict {
+    /// Breaks of the rules, the excused losses left out.
+    pub fn breaks(&self) -> u64 {
+        self.counts.iter().filter(|(rule, _)| **rule != "lost_with_kill").map(|(_, n)| n).sum()
+    }
+
+    /// True when no rule was broken and the history is whole.
+    pub fn clean(&self) -> bool {
+        self.breaks() == 0 && self.dropped == 0
+    }
+
+    fn fault(&mut self, rule: &'static str, id: &str) {
+        *self.counts.entry(rule).or_default() += 1;
+        let named = self.named.entry(rule).or_default();
+        if named.len() < NAMED {
+            named.push(id.to_string());
+        }
+    }
+
+    /// A table for people: one line a rule.
+    pub fn table(&self) -> String {
+        let mut out = format!("sent {}   answers", self.sent);
+        for (status, n) in &self.statuses {
+            out += &format!("  {status}: {n}");
+        }
+        out += "\n";
+        for rule in RULES {
+            let n = self.counts.get(rule).copied().unwrap_or(0);
+            let ids = self.named.get(rule).map(|v| v.join(" ")).unwrap_or_default();
+            out += &format!("{rule:<18} {n:>7}  {ids}\n");
+        }
+        if self.dropped > 0 {
+            out += &format!("incomplete: {} lines were dropped by the recorder\n", self.dropped);
+        }
+        out
+    }
+}
+
+struct Sent<'a> {
+    t_ms: u64,
+    to: &'a str,
+    due_ms: u64,
+    answers: Vec<(u64, u16)>,
+}
+
+/// Judges a history; `slack_ms` is what an answer may come after its due time (the site's answer slack).
+pub fn check(records: &[Record], slack_ms: u64) -> Verdict {
+    let mut verdict = Verdict::default();
+    for rule in RULES {
+        verdict.counts.insert(rule, 0);
+    }
+    let mut sent: HashMap<&str, Sent> = HashMap::new();
+    let mut order: Vec<&str> = Vec::new();
+    let mut kills: HashMap<&str, Vec<u64>> = HashMap::new();
+    let mut runs_of_id: HashMap<&str, HashSet<(&str, &str)>> = HashMap::new();
+    let mut runs_of_key: HashMap<&str, HashSet<(&str, &str)>> = HashMap::new();
+    // Tries that launched a run themselves: the matcher names a launch by the id of its try; an unkeyed body
+    // names its request too.
+    let mut launched: HashSet<&str> = HashSet::new();
+    for Record { t_ms, event } in records {
+        match event {
+            Event::Send { id, to, due_ms, .. } => {
+                verdict.sent += 1;
+                order.push(id);
+                sent.insert(id, Sent { t_ms: *t_ms, to, due_ms: *due_ms, answers: Vec::new() });
+            }
+            Event::Answer { id, status } => {
+                *verdict.statuses.entry(*status).or_default() += 1;
+                if let Some(s) = sent.get_mut(id.as_str()) {
+                    s.answers.push((*t_ms, *status));
+                }
+            }
+            Event::Run { id, key, by, handle } => {
+                runs_of_id.entry(id).or_default().insert((by, handle));
+                launched.insert(handle);
+                if key.is_empty() {
+                    launched.insert(id);
+                }
+                if !key.is_empty() {
+                    runs_of_key.entry(key).or_default().insert((by, handle));
+                }
+            }
+            Event::Process { name, what } if what == "kill" => kills.entry(name).or_default().push(*t_ms),
+            Event::Dropped { count } => verdict.dropped += count,
+            _ => {}
+        }
+    }
+    for id in order {
+        let s = &sent[id];
+        match s.answers.as_slice() {
+            [] => {
+                let killed =
+                    kills.get(s.to).is_some_and(|ts| ts.iter().any(|t| *t >= s.t_ms && *t <= s.due_ms));
+                verdict.fault(if killed { "lost_with_kill" } else { "lost" }, id);
+            }
+            [(t, _)] if *t > s.due_ms + slack_ms => verdict.fault("late", id),
+            [_] => {}
+            _ => verdict.fault("double", id),
+        }
+        // A keyed body names the key's first try, and a repeat may run it after that try was refused: the
+        // handle tells which try ran.
+        if s.answers.iter().any(|(_, status)| *status == 503) && launched.contains(id) {
+            verdict.fault("refused_after_run", id);
+        }
+        if runs_of_id.get(id).is_some_and(|runs| runs.len() > 1) {
+            verdict.fault("run_twice", id);
+        }
+    }
+    let mut keys: Vec<_> = runs_of_key.iter().filter(|(_, runs)| runs.len() > 1).map(|(k, _)| *k).collect();
+    keys.sort_unstable();
+    for key in keys {
+        // A key of many requests is one effect: the ids of its runs are not counted again above.
+        let ids_at_fault = runs_of_id.iter().any(|(_, r)| r.len() > 1 && r.is_subset(&runs_of_key[key]));
+        if !ids_at_fault {
+            verdict.fault("run_twice", &format!("key:{key}"));
+        }
+    }
+    verdict
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(t_ms: u64, event: Event) -> Record {
+        Record { t_ms, event }
+    }
+
+    fn send(t: u64, id: &str, key: &str) -> Record {
+        let (to, class) = ("m1".to_string(), "lobby-confirm".to_string());
+        at(t, Event::Send { id: id.into(), to, class, key: key.into(), due_ms: t + 1000 })
+    }
+
+    fn answer(t: u64, id: &str, status: u16) -> Record {
+        at(t, Event::Answer { id: id.into(), status })
+    }
+
+    fn run(t: u64, id: &str, key: &str, handle: &str) -> Record {
+        at(t, Event::Run { id: id.into(), key: key.into(), by: "agent-m1".into(), handle: handle.into() })
+    }
+
+    /// A clean day: two keyed tries of one key, one run, both answered in time; one refusal that never ran.
+    fn clean() -> Vec<Record> {
+        vec![
+            send(0, "a", "k"),
+            run(10, "a", "k", "h1"),
+            send(20, "b", "k"),
+            send(30, "c", ""),
+            answer(40, "c", 503),
+            answer(200, "a", 200),
+            answer(210, "b", 200),
+        ]
+    }
+
+    #[test]
+    fn a_clean_history_passes() {
+        let verdict = check(&clean(), 100);
+        assert!(verdict.clean(), "{}", verdict.table());
+        assert_eq!((verdict.sent, verdict.statuses[&200], verdict.statuses[&503]), (3, 2, 1));
+    }
+
+    #[test]
+    fn a_lost_answer_is_found() {
+        let mut h = clean();
+        h.retain(|r| r.event != Event::Answer { id: "b".into(), status: 200 });
+        let verdict = check(&h, 100);
+        assert_eq!((verdict.counts["lost"], verdict.named["lost"].clone()), (1, vec!["b".to_string()]));
+    }
+
+    #[test]
+    fn a_double_answer_is_found() {
+        let mut h = clean();
+        h.push(answer(300, "a", 500));
+        assert_eq!(check(&h, 100).named["double"], ["a"]);
+    }
+
+    #[test]
+    fn a_late_answer_is_found_and_the_slack_is_kept() {
+        let mut h = clean();
+        h.push(send(1000, "d", ""));
+        h.push(answer(2100, "d", 200));
+        assert!(check(&h, 100).clean());
+        h.pop();
+        h.push(answer(2101, "d", 200));
+        assert_eq!(check(&h, 100).named["late"], ["d"]);
+    }
+
+    #[test]
+    fn a_run_after_a_refusal_is_found() {
+        let mut h = clean();
+        h.push(run(50, "c", "", "h2"));
+        assert_eq!(check(&h, 100).named["refused_after_run"], ["c"]);
+    }
+
+    #[test]
+    fn a_first_try_refused_and_a_repeat_that_ran_is_no_break() {
+        let mut h = clean();
+        h.push(send(300, "e", "q"));
+        h.push(answer(310, "e", 503));
+        h.push(send(400, "f", "q"));
+        h.push(run(410, "e", "q", "h9"));
+        h.push(answer(600, "f", 200));
+        assert!(check(&h, 100).clean(), "{}", check(&h, 100).table());
+    }
+
+    #[test]
+    fn a_key_run_twice_is_found_once() {
+        let mut h = clean();
+        h.push(run(25, "b", "k", "h3"));
+        let verdict = check(&h, 100);
+        assert_eq!(
+            (verdict.counts["run_twice"], verdict.named["run_twice"].clone()),
+            (1, vec!["key:k".into()])
+        );
+        // A launch repeated with the same handle does nothing, as the protocol has it: no break.
+        let mut h = clean();
+        h.push(run(25, "a", "k", "h1"));
+        assert!(check(&h, 100).clean());
+    }
+
+    #[test]
+    fn what_a_killed_matcher_held_is_named_apart() {
+        let mut h = clean();
+        h.retain(|r| r.event != Event::Answer { id: "b".into(), status: 200 });
+        h.push(at(100, Event::Process { name: "m1".into(), what: "kill".into() }));
+        let verdict = check(&h, 100);
+        assert_eq!((verdict.counts["lost"], verdict.counts["lost_with_kill"]), (0, 1));
+        assert!(verdict.clean());
+        // A stop is no kill: what a drain loses is a break.
+        h.pop();
+        h.push(at(100, Event::Process { name: "m1".into(), what: "stop".into() }));
+        assert_eq!(check(&h, 100).counts["lost"], 1);
+    }
+
+    #[test]
+    fn a_history_with_dropped_lines_is_not_clean() {
+        let mut h = clean();
+        h.push(at(500, Event::Dropped { count: 3 }));
+        assert!(!check(&h, 100).clean());
+    }
+}
--- /dev/null
+++ b/src/lab/history.rs
@@ -0,0 +1,232 @@
+//! The lab's history: one JSON line for every send and answer of a caller, every run below, every fault and
+//! every start and end of a process. Lines are written by `tracing-subscriber`'s JSON layer on a thread of their
+//! own behind a bounded queue, so that no caller's coroutine waits on a file.
+//!
+//! Schema (all lines): `t_ms` (milliseconds since the lab began, one monotonic clock) and `event`, then
+//! - `send`: `id`, `to` (matcher), `class`, `key` (empty when none), `due_ms` (the caller's deadline, `t_ms` scale);
+//! - `answer`: `id`, `status` (HTTP status of the final answer);
+//! - `gone`: `id`, `why` (the connection ended or the caller stopped waiting, with no answer);
+//! - `run`: `id`, `key`, `by` (the agent that started it), `handle`;
+//! - `process`: `name`, `what` (`start`, `stop`, `kill`, `pause`, `continue`, `exit`);
+//! - `fault`: `kind`, `target`, `phase` (`start` or `end`);
+//! - `dropped`: `count` (lines that did not fit the queue; a history with any is incomplete).
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use tinyjson::JsonValue;
+use tracing::info;
+
+/// Lines that may wait for the writer; past it they are counted as dropped.
+pub const QUEUE: usize = 1 << 18;
+
+/// One line of the history, as the lab records it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A caller sent a request.
+    Send { id: String, to: String, class: String, key: String, due_ms: u64 },
+    /// A caller got its final answer.
+    Answer { id: String, status: u16 },
+    /// A caller got no answer.
+    Gone { id: String, why: String },
+    /// An agent began a run.
+    Run { id: String, key: String, by: String, handle: String },
+    /// Something happened to a process.
+    Process { name: String, what: String },
+    /// A fault began or ended.
+    Fault { kind: String, target: String, phase: String },
+    /// Lines the queue had no room for.
+    Dropped { count: u64 },
+}
+
+/// A line with its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    pub t_ms: u64,
+    pub event: Event,
+}
+
+/// Takes events from any thread or coroutine, never blocking it.
+#[derive(Clone)]
+pub struct Recorder {
+    began: Instant,
+    queue: SyncSender<Option<Record>>,
+    dropped: Arc<AtomicU64>,
+    writer: Arc<Mutex<Option<std::thread::JoinHandle<()>>>>,
+}
+
+impl Recorder {
+    /// Writes to `path`, which is made anew.
+    pub fn create(path: &Path) -> Result<Self, String> {
+        let file = File::create(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let (queue, lines) = sync_channel(QUEUE);
+        let writer = std::thread::Builder::new()
+            .name("lab-history".into())
+            .spawn(move || write_all(file, lines))
+            .map_err(|e| format!("the history's writer: {e}"))?;
+        let writer = Arc::new(Mutex::new(Some(writer)));
+        Ok(Self { began: Instant::now(), queue, dropped: Arc::default(), writer })
+    }
+
+    /// Milliseconds since the lab began.
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    pub fn record(&self, event: Event) {
+        let record = Record { t_ms: self.now_ms(), event };
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(Some(record)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Writes what is queued and the count of dropped lines, and waits for the file. Clones that stand-ins
+    /// still hold may go on recording; what they say after this is not written.
+    pub fn finish(self) {
+        let count = self.dropped.load(Ordering::Relaxed);
+        if count > 0 {
+            let _ = self.queue.send(Some(Record { t_ms: self.now_ms(), event: Event::Dropped { count } }));
+        }
+        let writer = self.writer.lock().map(|mut w| w.take()).unwrap_or(None);
+        let _ = self.queue.send(None);
+        if let Some(writer) = writer {
+            let _ = writer.join();
+        }
+    }
+}
+
+fn write_all(file: File, lines: Receiver<Option<Record>>) {
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .without_time()
+        .with_target(false)
+        .with_level(false)
+        .with_writer(Mutex::new(file))
+        .finish();
+    tracing::subscriber::with_default(subscriber, || {
+        for Record { t_ms, event } in lines.iter().map_while(|line| line) {
+            emit(t_ms, event);
+        }
+    });
+}
+
+fn emit(t_ms: u64, event: Event) {
+    match event {
+        Event::Send { id, to, class, key, due_ms } => {
+            info!(t_ms, event = "send", id, to, class, key, due_ms)
+        }
+        Event::Answer { id, status } => info!(t_ms, event = "answer", id, status),
+        Event::Gone { id, why } => info!(t_ms, event = "gone", id, why),
+        Event::Run { id, key, by, handle } => info!(t_ms, event = "run", id, key, by, handle),
+        Event::Process { name, what } => info!(t_ms, event = "process", name, what),
+        Event::Fault { kind, target, phase } => info!(t_ms, event = "fault", kind, target, phase),
+        Event::Dropped { count } => info!(t_ms, event = "dropped", count),
+    }
+}
+
+/// Reads one line. A line that is no record of this schema is an error naming what is wrong.
+pub fn parse_line(line: &str) -> Result<Record, String> {
+    let json = crate::json::parse(line)?;
+    let fields: &HashMap<String, JsonValue> = json.get().ok_or("a line is no object")?;
+    let text = |key: &str| -> Result<String, String> {
+        match fields.get(key) {
+            Some(JsonValue::String(s)) => Ok(s.clone()),
+            _ => Err(format!("`{key}`: is missing or no string")),
+        }
+    };
+    let number = |key: &str| -> Result<u64, String> {
+        match fields.get(key) {
+            Some(JsonValue::Number(n)) if *n >= 0.0 && n.fract() == 0.0 && *n < 9e15 => Ok(*n as u64),
+            _ => Err(format!("`{key}`: is missing or no whole number")),
+        }
+    };
+    let t_ms = number("t_ms")?;
+    let event = match text("event")?.as_str() {
+        "send" => Event::Send {
+            id: text("id")?,
+            to: text("to")?,
+            class: text("class")?,
+            key: text("key")?,
+            due_ms: number("due_ms")?,
+        },
+        "answer" => {
+            let status = number("status")?;
+            let status = u16::try_from(status).map_err(|_| "`status`: is no status".to_string())?;
+            Event::Answer { id: text("id")?, status }
+        }
+        "gone" => Event::Gone { id: text("id")?, why: text("why")? },
+        "run" => Event::Run { id: text("id")?, key: text("key")?, by: text("by")?, handle: text("handle")? },
+        "process" => Event::Process { name: text("name")?, what: text("what")? },
+        "fault" => Event::Fault { kind: text("kind")?, target: text("target")?, phase: text("phase")? },
+        "dropped" => Event::Dropped { count: number("count")? },
+        other => return Err(format!("`event`: `{other}` is not known")),
+    };
+    Ok(Record { t_ms, event })
+}
+
+/// Lines of a file that were no records: their numbers and what is wrong with them.
+pub type Bad = Vec<(usize, String)>;
+
+/// Reads a history file: its records, and the lines that were none.
+pub fn read(path: &Path) -> Result<(Vec<Record>, Bad), String> {
+    let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let (mut records, mut bad) = (Vec::new(), Vec::new());
+    for (n, line) in BufReader::new(file).lines().enumerate() {
+        let line = line.map_err(|e| format!("{}: line {}: {e}", path.display(), n + 1))?;
+        if line.trim().is_empty() {
+            continue;
+        }
+        match parse_line(&line) {
+            Ok(record) => records.push(record),
+            Err(e) => bad.push((n + 1, e)),
+        }
+    }
+    Ok((records, bad))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_written_reads_back_the_same() {
+        let dir = std::env::temp_dir().join(format!("hopwalk-history-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let path = dir.join("h.jsonl");
+        let recorder = Recorder::create(&path).unwrap();
+        let events = vec![
+            Event::Send {
+                id: "a\"1".into(),
+                to: "m1".into(),
+                class: "c".into(),
+                key: String::new(),
+                due_ms: 9,
+            },
+            Event::Answer { id: "a\"1".into(), status: 503 },
+            Event::Run { id: "a".into(), key: "k".into(), by: "agent-m1".into(), handle: "h".into() },
+            Event::Process { name: "m1".into(), what: "kill".into() },
+            Event::Fault { kind: "cut".into(), target: "m1-vault".into(), phase: "start".into() },
+        ];
+        events.iter().cloned().for_each(|e| recorder.record(e));
+        recorder.finish();
+        let (records, bad) = read(&path).unwrap();
+        assert!(bad.is_empty(), "{bad:?}");
+        assert_eq!(records.into_iter().map(|r| r.event).collect::<Vec<_>>(), events);
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
+    #[test]
+    fn a_foreign_line_is_named_not_taken() {
+        assert!(parse_line(r#"{"t_ms":1,"event":"sned"}"#).unwrap_err().contains("sned"));
+        assert!(parse_line(r#"{"t_ms":-1,"event":"dropped","count":1}"#).unwrap_err().contains("t_ms"));
+        assert!(parse_line(r#"{"t_ms":1,"event":"answer","id":"x","status":70000}"#).is_err());
+        assert!(parse_line("[[[").is_err());
+    }
+}
--- /dev/null
+++ b/src/lab/load.rs
@@ -0,0 +1,197 @@
+//! The load tool: callers on an open loop. Arrivals keep their own clock, drawn from the scenario's seed (a
+//! Poisson process at the rate of the moment), and never wait for answers; each request is a coroutine with a
+//! connection of its own. What it sends and hears goes to the history.
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use super::history::{Event, Recorder};
+use super::random::Random;
+use super::scenario::Load;
+
+/// Requests out at once; an arrival beyond it is not sent, and counted.
+pub const MOST_OUT: u64 = 30_000;
+/// Keys kept for repeats.
+const KEYS_KEPT: usize = 1024;
+/// Bytes of an answer read at most.
+const MOST_ANSWER: usize = 64 * 1024;
+/// How long a caller waits past its due time before it calls the request gone.
+pub const GRACE: Duration = Duration::from_millis(1500);
+
+/// Where callers send: the address of each matcher (through the fault net), which may change.
+pub type Targets = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Counts of one run of the load tool.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub asked: AtomicU64,
+    pub sent: AtomicU64,
+    pub not_sent: AtomicU64,
+    pub answered: AtomicU64,
+    pub out: AtomicU64,
+}
+
+/// Runs until `stop` or `seconds`; returns when the last arrival was made, not when it was answered.
+pub fn run(
+    load: &Load,
+    seconds: f64,
+    seed: u64,
+    targets: Targets,
+    history: Recorder,
+    stop: &AtomicBool,
+) -> Arc<Tally> {
+    let tally = Arc::new(Tally::default());
+    let mut random = Random::new(seed ^ 0x10ad);
+    let mut keys: Vec<(String, usize, String)> = Vec::new();
+    let began = Instant::now();
+    let mut next = 0.0;
+    let mut n = 0u64;
+    while next < seconds && !stop.load(Ordering::Relaxed) {
+        let ahead = Duration::from_secs_f64(next).saturating_sub(began.elapsed());
+        if ahead > Duration::from_millis(1) {
+            std::thread::sleep(ahead);
+        }
+        n += 1;
+        tally.asked.fetch_add(1, Ordering::Relaxed);
+        next += random.exponential(load.rate_at(next));
+        if tally.out.load(Ordering::Relaxed) >= MOST_OUT {
+            tally.not_sent.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        // The platform's ids are 16 hex digits: six of the seed, ten of the count.
+        let id = format!("{:06x}{n:010x}", seed & 0xff_ffff);
+        let matchers = targets.lock().unwrap().len().max(1);
+        let (class, key, to, body_id) = if random.unit() < load.keyed_share {
+            if !keys.is_empty() && random.unit() < load.repeat_share {
+                let (key, to, first) = keys[(random.next_u64() % keys.len() as u64) as usize].clone();
+                ("lobby-confirm", key, to, first)
+            } else {
+                let (key, to) = (format!("k{id}"), (random.next_u64() % matchers as u64) as usize);
+                if keys.len() == KEYS_KEPT {
+                    keys.remove(0);
+                }
+                keys.push((key.clone(), to, id.clone()));
+                ("lobby-confirm", key, to, id.clone())
+            }
+        } else {
+            let class = if random.unit() < 0.5 { "queue-status" } else { "queue-prefs" };
+            (class, String::new(), (random.next_u64() % matchers as u64) as usize, id.clone())
+        };
+        let Some(address) = targets.lock().unwrap().get(to).copied() else { continue };
+        // A repeat of a key carries the body of its first try: the same key with another body is an error.
+        let body = format!("lab {body_id} {key}");
+        let request = http(&id, class, &key, load.patience_ms, body.as_bytes());
+        let t = history.now_ms();
+        let sent = Event::Send {
+            id: id.clone(),
+            to: format!("m{}", to + 1),
+            class: class.into(),
+            key,
+            due_ms: t + load.patience_ms,
+        };
+        history.record(sent);
+        tally.sent.fetch_add(1, Ordering::Relaxed);
+        tally.out.fetch_add(1, Ordering::Relaxed);
+        let (history, tally, wait) =
+            (history.clone(), tally.clone(), Duration::from_millis(load.patience_ms) + GRACE);
+        crate::net::spawn(move || {
+            let event = match ask(address, &request, wait) {
+                Ok(status) => {
+                    tally.answered.fetch_add(1, Ordering::Relaxed);
+                    Event::Answer { id, status }
+                }
+                Err(why) => Event::Gone { id, why },
+            };
+            history.record(event);
+            tally.out.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+    tally
+}
+
+/// Waits until no request is out, or `most` has passed.
+pub fn settle(tally: &Tally, most: Duration) {
+    let since = Instant::now();
+    while tally.out.load(Ordering::Relaxed) > 0 && since.elapsed() < most {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A request as the platform's callers make it.
+pub fn http(id: &str, class: &str, key: &str, patience_ms: u64, body: &[u8]) -> Vec<u8> {
+    let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let rank = if key.is_empty() { "0.1" } else { "0.8" };
+    let mut head = format!(
+        "POST /do/{class} HTTP/1.1\r\nHost: lab\r\nX-Request-Id: {id}\r\nX-Request-Start: {start}\r\n\
+         X-Timeout-Ms: {patience_ms}\r\nX-Memory-Kb: 40\r\nX-Rank: {rank}\r\n"
+    );
+    if !key.is_empty() {
+        head += &format!("Idempotency-Key: {key}\r\n");
+    }
+    head += &format!("Content-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// Sends one request on a connection of its own and reads the status of its answer.
+fn ask(address: SocketAddr, request: &[u8], wait: Duration) -> Result<u16, String> {
+    let since = Instant::now();
+    let mut stream = may::net::TcpStream::connect(address).map_err(|e| format!("connect: {e}"))?;
+    stream.set_read_timeout(Some(wait)).map_err(|e| e.to_string())?;
+    stream.write_all(request).map_err(|e| format!("write: {e}"))?;
+    let mut bytes = Vec::with_capacity(256);
+    let mut chunk = [0; 2048];
+    loop {
+        if let Some(status) = status_of(&bytes) {
+            return Ok(status);
+        }
+        if bytes.len() > MOST_ANSWER {
+            return Err("an answer without an end of its head".into());
+        }
+        let left = wait.saturating_sub(since.elapsed());
+        if left.is_zero() {
+            return Err("no answer in time".into());
+        }
+        let _ = stream.set_read_timeout(Some(left));
+        match stream.read(&mut chunk) {
+            Ok(0) => return Err("closed without an answer".into()),
+            Ok(n) => bytes.extend_from_slice(&chunk[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                return Err("no answer in time".into())
+            }
+            Err(e) => return Err(format!("read: {e}")),
+        }
+    }
+}
+
+/// The status of a whole head, once it is there.
+fn status_of(bytes: &[u8]) -> Option<u16> {
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let head = std::str::from_utf8(&bytes[..end]).ok()?;
+    head.split(' ').nth(1)?.parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_status_is_read_only_from_a_whole_head() {
+        assert_eq!(status_of(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After-Ms: 5\r\n"), None);
+        assert_eq!(status_of(b"HTTP/1.1 503 Service Unavailable\r\n\r\n"), Some(503));
+        assert_eq!(status_of(b"HTTP/1.1 2x0 OK\r\n\r\n"), None);
+    }
+
+    #[test]
+    fn a_keyed_request_carries_its_key_and_its_deadline() {
+        let text = String::from_utf8(http("1-2", "lobby-confirm", "k1", 1500, b"lab 1-2 k1")).unwrap();
+        assert!(
+            text.contains("Idempotency-Key: k1\r\n") && text.contains("X-Timeout-Ms: 1500\r\n"),
+            "{text}"
+        );
+        assert!(text.ends_with("\r\n\r\nlab 1-2 k1"));
+    }
+}
--- /dev/null
+++ b/src/lab/mod.rs
@@ -0,0 +1,13 @@
+//! The laboratory: stand-ins of the platform's services, a fault net between processes, a load tool, a history
+//! of everything, a checker of the four rules and a report. It starts real processes of this program; the
+//! program's own parts never use it.
+
+pub mod check;
+pub mod history;
+pub mod load;
+pub mod net;
+pub mod random;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod stand_in;
--- /dev/null
+++ b/src/lab/net.rs
@@ -0,0 +1,306 @@
+//! The fault net: a proxy of the lab's own on every stream between two processes, whose faults change while it
+//! runs. What a link does to a chunk of bytes is decided by [`Faults::plan`] without I/O; [`Link`] carries it out.
+//!
+//! Faults on a stream: delay with jitter (each chunk waits, order is kept), stall (nothing moves, connections stay),
+//! throttle (bytes a second), half-close (the way to the far side is shut), reset (every connection is ended by
+//! RST, new ones are taken), cut (every connection ends and new ones are refused until the cut is lifted).
+//! Faults apply to both directions unless `one_way` names the direction from the near side only.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use super::history::{Event, Recorder};
+use super::random::Random;
+
+/// Bytes read at once from either side.
+const CHUNK: usize = 16 * 1024;
+/// How often a stalled or throttled pump looks again.
+const TICK: Duration = Duration::from_millis(5);
+/// Connections a link holds at once; past it new ones are refused, as a full table would.
+pub const MOST_CONNECTIONS: usize = 4096;
+
+/// The faults of one link at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Faults {
+    pub delay_ms: u64,
+    pub jitter_ms: u64,
+    pub stall: bool,
+    /// Bytes a second in each direction; 0 is no limit.
+    pub throttle_bps: u64,
+    pub half_close: bool,
+    pub cut: bool,
+    /// Only the direction from the caller's side (near) to the far side is touched.
+    pub one_way: bool,
+}
+
+/// Which way bytes go through a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From who connected to the link, to the process behind it.
+    Out,
+    /// Back.
+    Back,
+}
+
+/// What a pump does with a chunk that it read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait this long, then ask again.
+    Hold(Duration),
+    /// Write it after this wait.
+    Pass(Duration),
+    /// Shut the way to the far side and stop this way.
+    HalfClose,
+    /// End the connection.
+    End,
+}
+
+impl Faults {
+    /// Whether these faults touch bytes going `way`.
+    pub fn touches(&self, way: Way) -> bool {
+        !self.one_way || way == Way::Out
+    }
+
+    /// What to do with `len` bytes going `way`; `noise` is a draw in [0, 1) for the jitter.
+    pub fn plan(&self, way: Way, len: usize, noise: f64) -> Step {
+        if !self.touches(way) {
+            return Step::Pass(Duration::ZERO);
+        }
+        if self.cut {
+            return Step::End;
+        }
+        if self.half_close {
+            return Step::HalfClose;
+        }
+        if self.stall {
+            return Step::Hold(TICK);
+        }
+        let jitter = (self.jitter_ms as f64 * noise) as u64;
+        let mut wait = Duration::from_millis(self.delay_ms + jitter);
+        if self.throttle_bps > 0 {
+            wait += Duration::from_secs_f64(len as f64 / self.throttle_bps as f64);
+        }
+        Step::Pass(wait)
+    }
+}
+
+struct Shared {
+    name: String,
+    faults: Mutex<Faults>,
+    /// Raised when every connection is to end now, by RST.
+    resets: AtomicU64,
+    open: AtomicU64,
+    bytes: AtomicU64,
+    closed: AtomicBool,
+    random: Mutex<Random>,
+}
+
+/// One proxied link: callers connect to [`Link::address`], and their bytes reach `to` through the faults.
+#[derive(Clone)]
+pub struct Link {
+    pub address: SocketAddr,
+    to: Arc<Mutex<SocketAddr>>,
+    shared: Arc<Shared>,
+    history: Option<Recorder>,
+}
+
+impl Link {
+    /// A link named `name` (as faults and the history call it) in front of `to`.
+    pub fn start(name: &str, to: SocketAddr, seed: u64, history: Option<Recorder>) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let shared = Arc::new(Shared {
+            name: name.to_string(),
+            faults: Mutex::default(),
+            resets: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
+            closed: AtomicBool::new(false),
+            random: Mutex::new(Random::new(seed)),
+        });
+        let to = Arc::new(Mutex::new(to));
+        let link = Self { address: listener.local_addr()?, to, shared, history };
+        let accepting = link.clone();
+        thread::Builder::new().name(format!("net-{name}")).spawn(move || accepting.accept(listener))?;
+        Ok(link)
+    }
+
+    pub fn name(&self) -> &str {
+        &self.shared.name
+    }
+
+    /// New connections go to `to` from now on: a process that was started again listens elsewhere.
+    pub fn retarget(&self, to: SocketAddr) {
+        *self.to.lock().unwrap() = to;
+    }
+
+    /// The faults in force now.
+    pub fn faults(&self) -> Faults {
+        *self.shared.faults.lock().unwrap()
+    }
+
+    /// Puts other faults in force, from the next chunk on.
+    pub fn set(&self, faults: Faults) {
+        *self.shared.faults.lock().unwrap() = faults;
+    }
+
+    /// Ends every open connection by RST; new ones are taken as before.
+    pub fn reset(&self) {
+        self.shared.resets.fetch_add(1, Ordering::SeqCst);
+        if let Some(h) = &self.history {
+            h.record(Event::Fault {
+                kind: "reset".into(),
+                target: self.name().into(),
+                phase: "start".into(),
+            });
+        }
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> u64 {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
+    /// Bytes carried, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Stops taking connections; those open end at their next chunk.
+    pub fn close(&self) {
+        self.shared.closed.store(true, Ordering::SeqCst);
+        self.set(Faults { cut: true, ..Faults::default() });
+        let _ = TcpStream::connect(self.address);
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        for near in listener.incoming() {
+            if self.shared.closed.load(Ordering::SeqCst) {
+                return;
+            }
+            let Ok(near) = near else { continue };
+            let full = self.open() as usize >= MOST_CONNECTIONS;
+            if self.faults().cut && !self.faults().one_way || full {
+                drop(near);
+                continue;
+            }
+            let to = *self.to.lock().unwrap();
+            let Ok(far) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
+                reset_now(&near);
+                continue;
+            };
+            let _ = (near.set_nodelay(true), far.set_nodelay(true));
+            self.shared.open.fetch_add(1, Ordering::Relaxed);
+            let (near2, far2) = match (near.try_clone(), far.try_clone()) {
+                (Ok(a), Ok(b)) => (a, b),
+                _ => continue,
+            };
+            let ended = Arc::new(AtomicU64::new(0));
+            let (out, back) = (self.clone(), self.clone());
+            let (e1, e2) = (ended.clone(), ended);
+            thread::spawn(move || out.pump(near, far, Way::Out, e1));
+            thread::spawn(move || back.pump(far2, near2, Way::Back, e2));
+        }
+    }
+
+    /// Carries one way until either side ends, or a fault ends it.
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, way: Way, ended: Arc<AtomicU64>) {
+        let resets_at_start = self.shared.resets.load(Ordering::SeqCst);
+        let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
+        let mut bytes = vec![0; CHUNK];
+        let reset_since = |link: &Self| link.shared.resets.load(Ordering::SeqCst) != resets_at_start;
+        let end = loop {
+            if reset_since(self) {
+                break Some(true);
+            }
+            let len = match from.read(&mut bytes) {
+                Ok(0) => break None,
+                Ok(n) => n,
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                {
+                    if self.faults().touches(way) && self.faults().cut {
+                        break Some(false);
+                    }
+                    continue;
+                }
+                Err(_) => break Some(false),
+            };
+            let step = loop {
+                let noise = self.shared.random.lock().unwrap().unit();
+                match self.faults().plan(way, len, noise) {
+                    Step::Hold(wait) if !reset_since(self) => thread::sleep(wait),
+                    Step::Hold(_) => break Step::End,
+                    other => break other,
+                }
+            };
+            match step {
+                Step::Pass(wait) => {
+                    thread::sleep(wait);
+                    if to.write_all(&bytes[..len]).is_err() {
+                        break Some(false);
+                    }
+                    self.shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
+                }
+                Step::HalfClose => {
+                    let _ = to.shutdown(Shutdown::Write);
+                    break None;
+                }
+                Step::End | Step::Hold(_) => break Some(reset_since(self)),
+            }
+        };
+        match end {
+            // The reader saw an end: pass it on as an end of writing.
+            None => {
+                let _ = to.shutdown(Shutdown::Write);
+            }
+            Some(true) => {
+                reset_now(&from);
+                reset_now(&to);
+            }
+            Some(false) => {
+                let _ = from.shutdown(Shutdown::Both);
+                let _ = to.shutdown(Shutdown::Both);
+            }
+        }
+        // The second of the two pumps to end closes the connection's count.
+        if ended.fetch_add(1, Ordering::SeqCst) == 1 {
+            self.shared.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Ends a connection by RST: a linger of zero makes the close abortive.
+fn reset_now(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_linger(Some(Duration::ZERO));
+    let _ = socket.shutdown(Shutdown::Both);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_fault_plans_what_it_says() {
+        let none = Faults::default();
+        assert_eq!(none.plan(Way::Out, 10, 0.5), Step::Pass(Duration::ZERO));
+        let delayed = Faults { delay_ms: 20, jitter_ms: 10, ..none };
+        assert_eq!(delayed.plan(Way::Back, 10, 0.5), Step::Pass(Duration::from_millis(25)));
+        let throttled = Faults { throttle_bps: 10_000, ..none };
+        assert_eq!(throttled.plan(Way::Out, 5_000, 0.0), Step::Pass(Duration::from_millis(500)));
+        assert_eq!(Faults { stall: true, ..none }.plan(Way::Out, 1, 0.0), Step::Hold(TICK));
+        assert_eq!(Faults { cut: true, stall: true, ..none }.plan(Way::Out, 1, 0.0), Step::End);
+        assert_eq!(Faults { half_close: true, ..none }.plan(Way::Back, 1, 0.0), Step::HalfClose);
+    }
+
+    #[test]
+    fn a_one_way_fault_leaves_the_way_back_alone() {
+        let faults = Faults { cut: true, one_way: true, ..Faults::default() };
+        assert_eq!(faults.plan(Way::Out, 1, 0.0), Step::End);
+        assert_eq!(faults.plan(Way::Back, 1, 0.0), Step::Pass(Duration::ZERO));
+    }
+}
--- /dev/null
+++ b/src/lab/run.rs
@@ -0,0 +1,359 @@
+//! A lab run: stand-ins, the fault net, matchers as processes of this program, the load, the faults on their
+//! schedule, then a drain of all, the history, and the checker's verdict.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+use super::check::{check, Verdict};
+use super::history::{self, Event, Recorder};
+use super::load::{self, Tally, Targets};
+use super::net::{Faults, Link};
+use super::scenario::{Action, Scenario};
+use super::stand_in::{vault, Agent, Control};
+
+/// The site that the lab's matchers serve.
+pub const SITE: &str = include_str!("site.json");
+/// Log lines of a matcher kept for an error.
+const LOG_KEPT: usize = 64;
+/// How long a matcher may take to start, and to end after SIGTERM.
+const START: Duration = Duration::from_secs(15);
+const STOP: Duration = Duration::from_secs(8);
+/// The site's slack for a final answer after its due time, in milliseconds.
+pub const SLACK_MS: u64 = 100;
+
+/// What a run needs besides its scenario.
+pub struct Options {
+    /// The program to start as matchers.
+    pub program: PathBuf,
+    /// The folder for the history, configurations and logs.
+    pub folder: PathBuf,
+    /// Called every second with (seconds done, seconds in all).
+    pub progress: Box<dyn Fn(u64, u64) + Send>,
+}
+
+/// What a run found.
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub history: PathBuf,
+    pub asked: u64,
+    pub sent: u64,
+    pub not_sent: u64,
+    pub seconds: f64,
+}
+
+struct Matcher {
+    name: String,
+    config: String,
+    folder: PathBuf,
+    child: Option<Child>,
+    starts: u32,
+    log: Arc<Mutex<VecDeque<String>>>,
+    http: SocketAddr,
+    paused: bool,
+}
+
+impl Matcher {
+    fn start(&mut self, program: &Path, history: &Recorder) -> Result<(), String> {
+        self.starts += 1;
+        // A folder of its own for each start: a new process must not take the handover socket for a version
+        // that runs beside it.
+        let dir = self.folder.join(format!("{}-{}", self.name, self.starts));
+        std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        let (config, appliance) = (dir.join("config.json"), dir.join("appliance.json"));
+        std::fs::write(&config, &self.config)
+            .and_then(|_| std::fs::write(&appliance, "{}"))
+            .map_err(|e| e.to_string())?;
+        let mut child = Command::new(program)
+            .arg("serve")
+            .env("TMPDIR", &dir)
+            .env("RELAY_CONFIG", &config)
+            .env("RELAY_APPLIANCE", &appliance)
+            .env("RELAY_LOG", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|e| format!("{}: {e}", program.display()))?;
+        let (found, listening) = mpsc::channel();
+        let (log, stderr) = (self.log.clone(), child.stderr.take());
+        thread::spawn(move || {
+            let Some(stderr) = stderr else { return };
+            let mut linked = false;
+            let mut http = None;
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if let Some((_, at)) = line.split_once("takes HTTP on ") {
+                    http = at.trim().parse::<SocketAddr>().ok();
+                }
+                linked |= line.contains("linked to the agent");
+                if let (Some(at), true) = (http, linked) {
+                    let _ = found.send(at);
+                    linked = false;
+                }
+                let mut log = log.lock().unwrap();
+                if log.len() == LOG_KEPT {
+                    log.pop_front();
+                }
+                log.push_back(line);
+            }
+        });
+        history.record(Event::Process { name: self.name.clone(), what: "start".into() });
+        self.child = Some(child);
+        match listening.recv_timeout(START) {
+            Ok(at) => {
+                self.http = at;
+                Ok(())
+            }
+            Err(_) => Err(format!("{} did not start: {}", self.name, self.last_log())),
+        }
+    }
+
+    fn last_log(&self) -> String {
+        self.log.lock().unwrap().iter().rev().take(3).cloned().collect::<Vec<_>>().join(" / ")
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// SIGTERM, then waits for the exit; a process that does not end is killed, and that is said.
+    fn stop(&mut self, history: &Recorder) -> Option<String> {
+        if self.paused {
+            self.signal(Signal::SIGCONT);
+        }
+        let mut child = self.child.take()?;
+        let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
+        history.record(Event::Process { name: self.name.clone(), what: "stop".into() });
+        let since = Instant::now();
+        loop {
+            match child.try_wait() {
+                Ok(Some(status)) => {
+                    history.record(Event::Process { name: self.name.clone(), what: "exit".into() });
+                    return (!status.success()).then(|| format!("{} ended with {status}", self.name));
+                }
+                Ok(None) if since.elapsed() < STOP => thread::sleep(Duration::from_millis(10)),
+                _ => {
+                    let _ = child.kill();
+                    history.record(Event::Process { name: self.name.clone(), what: "kill".into() });
+                    return Some(format!("{} did not end in {STOP:?} after SIGTERM", self.name));
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Matcher {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// One configuration of a matcher: its links go through the fault net.
+fn config(name: &str, seed: u64, control: SocketAddr, agent: SocketAddr, vault: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"{name}","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{control}","agent":"{agent}","vault":"{vault}","seed":"{seed:x}","limits":{{"sockets":1024}},"stop_ms":3200,"settings":{SITE}}}"#
+    )
+}
+
+/// Plays a scenario to its end.
+pub fn run(scenario: &Scenario, options: Options) -> Result<Outcome, String> {
+    std::fs::create_dir_all(&options.folder).map_err(|e| format!("{}: {e}", options.folder.display()))?;
+    let path = options.folder.join("history.jsonl");
+    let history = Recorder::create(&path)?;
+    let control = Control::start().map_err(|e| format!("control plane: {e}"))?;
+    let vault = vault();
+    let mut links: HashMap<String, Link> = HashMap::new();
+    let mut matchers = Vec::new();
+    let work = Duration::from_millis(scenario.work_ms);
+    for i in 1..=scenario.matchers {
+        let name = format!("m{i}");
+        let seed = scenario.seed.wrapping_add(i as u64);
+        let agent = Agent::recorded(scenario.cores, work, true, history.clone(), &format!("agent-{name}"));
+        let to_agent = Link::start(&format!("{name}-agent"), agent.address, seed, Some(history.clone()));
+        let to_vault = Link::start(&format!("{name}-vault"), vault, seed ^ 1, Some(history.clone()));
+        let (to_agent, to_vault) =
+            (to_agent.map_err(|e| e.to_string())?, to_vault.map_err(|e| e.to_string())?);
+        let config = config(&name, seed, control.address, to_agent.address, to_vault.address);
+        links.insert(to_agent.name().to_string(), to_agent);
+        links.insert(to_vault.name().to_string(), to_vault);
+        let folder = options.folder.clone();
+        let log = Arc::default();
+        let mut matcher = Matcher {
+            name,
+            config,
+            folder,
+            child: None,
+            starts: 0,
+            log,
+            http: ([127, 0, 0, 1], 0).into(),
+            paused: false,
+        };
+        matcher.start(&options.program, &history)?;
+        let callers = Link::start(&format!("callers-m{i}"), matcher.http, seed ^ 2, Some(history.clone()));
+        let callers = callers.map_err(|e| e.to_string())?;
+        links.insert(callers.name().to_string(), callers);
+        matchers.push(matcher);
+    }
+    let targets: Targets = Arc::new(Mutex::new(
+        (1..=scenario.matchers).map(|i| links[&format!("callers-m{i}")].address).collect(),
+    ));
+    let stop = Arc::new(AtomicBool::new(false));
+    let began = Instant::now();
+    let loader = {
+        let (load, seconds, seed) = (scenario.load.clone(), scenario.seconds, scenario.seed);
+        let (targets, history, stop) = (targets.clone(), history.clone(), stop.clone());
+        thread::spawn(move || load::run(&load, seconds, seed, targets, history, &stop))
+    };
+    let mut errors = Vec::new();
+    let total = scenario.seconds.ceil() as u64;
+    let mut shown = 0;
+    for (at_ms, action) in scenario.timeline() {
+        if at_ms as f64 > scenario.seconds * 1000.0 {
+            break;
+        }
+        while began.elapsed() < Duration::from_millis(at_ms) {
+            let done = began.elapsed().as_secs();
+            if done > shown {
+                shown = done;
+                (options.progress)(done.min(total), total);
+            }
+            thread::sleep(
+                Duration::from_millis(2).min(Duration::from_millis(at_ms).saturating_sub(began.elapsed())),
+            );
+        }
+        if let Err(e) = apply(&action, &links, &mut matchers, &options.program, &history) {
+            errors.push(e);
+        }
+    }
+    while began.elapsed().as_secs_f64() < scenario.seconds {
+        let done = began.elapsed().as_secs();
+        if done > shown {
+            shown = done;
+            (options.progress)(done.min(total), total);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let tally: Arc<Tally> = loader.join().map_err(|_| "the load tool failed".to_string())?;
+    // Lift every fault and wake every process, so that what was read can be answered before the drain.
+    for (name, link) in &links {
+        if link.faults() != Faults::default() {
+            link.set(Faults::default());
+            history.record(Event::Fault { kind: "all".into(), target: name.clone(), phase: "end".into() });
+        }
+    }
+    for m in matchers.iter_mut().filter(|m| m.paused) {
+        m.signal(Signal::SIGCONT);
+        m.paused = false;
+        history.record(Event::Process { name: m.name.clone(), what: "continue".into() });
+    }
+    load::settle(&tally, Duration::from_millis(scenario.load.patience_ms) + load::GRACE * 2);
+    for m in &mut matchers {
+        errors.extend(m.stop(&history));
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    history.finish();
+    for link in links.values() {
+        link.close();
+    }
+    let (records, bad) = history::read(&path)?;
+    if let Some((line, e)) = bad.first() {
+        errors.push(format!("history line {line}: {e}"));
+    }
+    let verdict = check(&records, SLACK_MS);
+    if !errors.is_empty() {
+        return Err(errors.join("; "));
+    }
+    let count = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
+    Ok(Outcome {
+        verdict,
+        history: path,
+        asked: count(&tally.asked),
+        sent: count(&tally.sent),
+        not_sent: count(&tally.not_sent),
+        seconds,
+    })
+}
+
+fn apply(
+    action: &Action,
+    links: &HashMap<String, Link>,
+    matchers: &mut [Matcher],
+    program: &Path,
+    history: &Recorder,
+) -> Result<(), String> {
+    let fault = |kind: &str, target: &str, phase: &str| {
+        history.record(Event::Fault { kind: kind.into(), target: target.into(), phase: phase.into() })
+    };
+    let matcher = |matchers: &mut [Matcher], name: &str| -> Result<usize, String> {
+        matchers.iter().position(|m| m.name == name).ok_or(format!("no matcher {name}"))
+    };
+    match action {
+        Action::Set { link, faults } => {
+            let at = links.get(link).ok_or(format!("no link {link}"))?;
+            let lifted = *faults == Faults::default();
+            let kind = if lifted { describe(&at.faults()) } else { describe(faults) };
+            at.set(*faults);
+            fault(&kind, link, if lifted { "end" } else { "start" });
+        }
+        Action::Reset { link } => links.get(link).ok_or(format!("no link {link}"))?.reset(),
+        Action::Pause(name) => {
+            let i = matcher(matchers, name)?;
+            matchers[i].signal(Signal::SIGSTOP);
+            matchers[i].paused = true;
+            history.record(Event::Process { name: name.clone(), what: "pause".into() });
+        }
+        Action::Continue(name) => {
+            let i = matcher(matchers, name)?;
+            matchers[i].signal(Signal::SIGCONT);
+            matchers[i].paused = false;
+            history.record(Event::Process { name: name.clone(), what: "continue".into() });
+        }
+        Action::Kill(name) => {
+            let i = matcher(matchers, name)?;
+            if let Some(mut child) = matchers[i].child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            history.record(Event::Process { name: name.clone(), what: "kill".into() });
+        }
+        Action::Restart(name) => {
+            let i = matcher(matchers, name)?;
+            matchers[i].start(program, history)?;
+            let callers = links.get(&format!("callers-{name}")).ok_or(format!("no link callers-{name}"))?;
+            callers.retarget(matchers[i].http);
+        }
+    }
+    Ok(())
+}
+
+/// The name of a fault as the history has it.
+fn describe(f: &Faults) -> String {
+    let way = if f.one_way { "one_way_" } else { "" };
+    let kind = if f.cut {
+        "cut"
+    } else if f.half_close {
+        "half_close"
+    } else if f.stall {
+        "stall"
+    } else if f.throttle_bps > 0 {
+        "throttle"
+    } else {
+        "delay"
+    };
+    format!("{way}{kind}")
+}
--- /dev/null
+++ b/src/lab/stand_in.rs
@@ -0,0 +1,343 @@
+//! Stand-ins for what a matcher talks to, speaking the platform's protocol: the agent that runs the work, the
+//! vault that answers calls below, and the control plane that takes reports. Moved here from the tests, which
+//! now use them from the lab. Input that a fault spoilt ends a link; it never ends the stand-in.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use tinyjson::JsonValue;
+
+use super::history::{Event, Recorder};
+
+/// How long [`wait_for`] waits.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Waits for a condition; fails the test with `what` if it does not come.
+pub fn wait_for(what: &str, there: impl FnMut() -> bool) {
+    assert!(wait_until(PATIENCE, there), "{what} did not come");
+}
+
+/// Waits for a condition at most `most`; says whether it came.
+pub fn wait_until(most: Duration, mut there: impl FnMut() -> bool) -> bool {
+    let since = Instant::now();
+    while !there() {
+        if since.elapsed() >= most {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    true
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+fn text<'a>(json: &'a HashMap<String, JsonValue>, key: &str) -> &'a str {
+    json.get(key).and_then(|v| v.get::<String>()).map_or("", String::as_str)
+}
+
+/// What the agent's stand-in was told and has told, which outlives its links.
+#[derive(Default)]
+struct Told {
+    launches: Vec<(String, String, Vec<u8>)>,
+    subscribed: Vec<u64>,
+    replies: HashMap<String, Vec<u8>>,
+    notices: Vec<String>,
+    link: Option<TcpStream>,
+}
+
+/// A stand-in for the agent: `cores` runs at a time, each of the length of `work`.
+#[derive(Clone)]
+pub struct Agent {
+    pub address: SocketAddr,
+    told: Arc<Mutex<Told>>,
+    busy: Arc<AtomicUsize>,
+    queue: mpsc::Sender<(String, Vec<u8>)>,
+    cores: usize,
+    history: Option<(Recorder, Arc<str>)>,
+}
+
+impl Agent {
+    /// With `calls`, each run makes one call halfway.
+    pub fn start(cores: usize, work: Duration, calls: bool) -> Self {
+        let (queue, work_queue) = mpsc::channel::<(String, Vec<u8>)>();
+        let agent =
+            Self { address: gone(), told: Arc::default(), busy: Arc::default(), queue, cores, history: None };
+        Self::serve(agent, work_queue, work, calls)
+    }
+
+    /// The same, recording each run it begins as `by` in `history`: the lab's load tool writes `lab id KEY` at the
+    /// head of each body, which names the request and its key.
+    pub fn recorded(cores: usize, work: Duration, calls: bool, history: Recorder, by: &str) -> Self {
+        let (queue, work_queue) = mpsc::channel::<(String, Vec<u8>)>();
+        let (told, busy) = (Arc::default(), Arc::default());
+        let history = Some((history, Arc::from(by)));
+        Self::serve(Self { address: gone(), told, busy, queue, cores, history }, work_queue, work, calls)
+    }
+
+    fn serve(
+        agent: Self,
+        work_queue: mpsc::Receiver<(String, Vec<u8>)>,
+        work: Duration,
+        calls: bool,
+    ) -> Self {
+        let agent = agent.moved();
+        let work_queue = Arc::new(Mutex::new(work_queue));
+        for _ in 0..agent.cores {
+            let (agent, work_queue) = (agent.clone(), work_queue.clone());
+            thread::spawn(move || loop {
+                let next = work_queue.lock().map(|q| q.recv());
+                let Ok(Ok((handle, arg))) = next else { return };
+                agent.run(&handle, &arg, work, calls);
+            });
+        }
+        agent
+    }
+
+    /// The same agent at a new address; at the old one it goes on as well.
+    pub fn moved(&self) -> Self {
+        self.moved_to(([127, 0, 0, 1], 0).into())
+    }
+
+    pub fn moved_to(&self, address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
+        let agent = Self { address: listener.local_addr().unwrap(), ..self.clone() };
+        let of_links = agent.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let agent = of_links.clone();
+                thread::spawn(move || agent.link(stream));
+            }
+        });
+        agent
+    }
+
+    fn run(&self, handle: &str, arg: &[u8], work: Duration, calls: bool) {
+        self.busy.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(work);
+        self.busy.fetch_sub(1, Ordering::Relaxed);
+        let mut made = [b"made:", arg].concat();
+        if calls {
+            self.tell("request", &format!(r#""handle":"{handle}","arg":"{}""#, BASE64.encode(arg)));
+            // A reply that a fault kept away ends the run without it, as a real run would go on without.
+            wait_until(PATIENCE, || self.told.lock().unwrap().replies.contains_key(handle));
+            made.extend(self.told.lock().unwrap().replies.remove(handle).unwrap_or_default());
+        }
+        let arg = BASE64.encode(&made);
+        let lasted = work.as_millis();
+        self.tell(
+            "outcome",
+            &format!(r#""handle":"{handle}","fate":"complete","lasted":{lasted},"arg":"{arg}""#),
+        );
+    }
+
+    fn tell(&self, event: &str, rest: &str) {
+        let mut told = self.told.lock().unwrap();
+        let line = format!("{{\"event\":\"{event}\",\"cursor\":{},{rest}}}\n", told.notices.len() + 1);
+        told.notices.push(line.clone());
+        if let Some(link) = &mut told.link {
+            let _ = link.write_all(line.as_bytes());
+        }
+    }
+
+    fn link(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reads) = stream.try_clone() else { return };
+        for line in BufReader::new(reads).lines() {
+            let Ok(line) = line else { return };
+            // A line that a fault cut short ends the link, as a broken link would.
+            let Ok(json) = crate::json::parse(&line) else { return };
+            let Some(json) = json.get::<HashMap<String, JsonValue>>() else { return };
+            let Ok(arg) = BASE64.decode(text(json, "arg")) else { return };
+            let handle = text(json, "handle").to_string();
+            let mut told = self.told.lock().unwrap();
+            match text(json, "event") {
+                "subscribe" => {
+                    let Some(cursor) = json.get("cursor").and_then(|c| c.get::<f64>()) else { return };
+                    let cursor = *cursor as u64;
+                    told.subscribed.push(cursor);
+                    let Ok(mut link) = stream.try_clone() else { return };
+                    let mut all = "{\"event\":\"greeting\",\"fate\":\"hot\",\"lasted\":60000}\n".to_string();
+                    all.extend(told.notices.iter().skip(cursor as usize).cloned());
+                    if link.write_all(all.as_bytes()).is_err() {
+                        return;
+                    }
+                    told.link = Some(link);
+                }
+                // As the protocol has it, a launch of what runs already does nothing.
+                "launch" if told.launches.iter().any(|(h, ..)| *h == handle) => {}
+                "launch" => {
+                    told.launches.push((handle.clone(), text(json, "entry").to_string(), arg.clone()));
+                    self.record_run(&handle, &arg);
+                    let _ = self.queue.send((handle, arg));
+                }
+                "deliver" => drop(told.replies.insert(handle, arg)),
+                "forgo" => drop(told.replies.insert(handle, Vec::new())),
+                "sample" => {
+                    let busy = self.busy.load(Ordering::Relaxed) as f64;
+                    let (ticket, share) = (text(json, "ticket"), busy / self.cores as f64);
+                    let figures = format!("[{share},{busy},0.1,4]");
+                    let line =
+                        format!("{{\"event\":\"sampled\",\"ticket\":\"{ticket}\",\"figures\":{figures}}}\n");
+                    if let Some(link) = told.link.as_mut() {
+                        let _ = link.write_all(line.as_bytes());
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn record_run(&self, handle: &str, arg: &[u8]) {
+        let Some((history, by)) = &self.history else { return };
+        let head = String::from_utf8_lossy(&arg[..arg.len().min(96)]);
+        let mut words = head.split(' ');
+        if words.next() == Some("lab") {
+            let id = words.next().unwrap_or_default().to_string();
+            let key = words.next().unwrap_or_default().to_string();
+            history.record(Event::Run { id, key, by: by.to_string(), handle: handle.to_string() });
+        }
+    }
+
+    pub fn launches(&self) -> Vec<(String, String, Vec<u8>)> {
+        self.told.lock().unwrap().launches.clone()
+    }
+
+    pub fn subscribed(&self) -> Vec<u64> {
+        self.told.lock().unwrap().subscribed.clone()
+    }
+
+    /// Says something that is no notice.
+    pub fn babble(&self, bytes: &[u8]) {
+        self.told.lock().unwrap().link.as_mut().expect("a link").write_all(bytes).unwrap();
+    }
+
+    /// Breaks the link; runs go on.
+    pub fn cut(&self) {
+        let link = self.told.lock().unwrap().link.take().expect("a link to cut");
+        link.shutdown(Shutdown::Both).unwrap();
+    }
+}
+
+/// A stand-in for the vault: answers each call with `reply:` and its body.
+pub fn vault() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let Ok(reads) = stream.try_clone() else { return };
+                let (mut reads, mut writes) = (BufReader::new(reads), stream);
+                let mut line = String::new();
+                while reads.read_line(&mut line).unwrap_or(0) > 0 {
+                    let words: Vec<_> = line.trim_end().split(' ').collect();
+                    if let ["ask", handle, _, len] = words[..] {
+                        let Some(len) = len.parse::<usize>().ok().filter(|n| *n <= 1 << 20) else { return };
+                        let mut body = vec![0; len + 2];
+                        if reads.read_exact(&mut body).is_err() {
+                            return;
+                        }
+                        let reply = [b"reply:", &body[..body.len() - 2]].concat();
+                        let head = format!("{handle} yes {}\r\n", reply.len());
+                        if writes.write_all(&[head.as_bytes(), &reply, b"\r\n"].concat()).is_err() {
+                            return;
+                        }
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A vault that answers the call with the body `bad` by noise, and others well once there was such a one: behind
+/// a reply that is nobody's, and with a second copy.
+pub fn spoiling_vault() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let spoilt = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let spoilt = spoilt.clone();
+            thread::spawn(move || {
+                let mut reads = BufReader::new(stream.try_clone().unwrap());
+                let (mut writes, mut line) = (stream, String::new());
+                while reads.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let words: Vec<_> = line.split_whitespace().map(str::to_string).collect();
+                    let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                    reads.read_exact(&mut body).unwrap();
+                    body.truncate(body.len() - 2);
+                    if body == b"bad" {
+                        spoilt.fetch_add(1, Ordering::Relaxed);
+                        let _ = writes.write_all(b"\xff\xfe?\r\n");
+                    } else {
+                        wait_for("a spoilt reply", || spoilt.load(Ordering::Relaxed) > 0);
+                        let len = body.len() + 6;
+                        let head = format!("{} yes {len}\r\nreply:", words[1]);
+                        let reply = [head.as_bytes(), &body, b"\r\n"];
+                        let stray = b"00000000000000ff yes 2\r\nno\r\n".to_vec();
+                        writes.write_all(&[stray, reply.concat(), reply.concat()].concat()).unwrap();
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A vault that reads a call and breaks the connection.
+pub fn broken_vault() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let _ = BufReader::new(stream).read_line(&mut String::new());
+        }
+    });
+    address
+}
+
+/// An address where nobody listens.
+pub fn gone() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A stand-in for the control plane: takes the reports of being alive, and counts them by sender.
+#[derive(Clone)]
+pub struct Control {
+    pub address: SocketAddr,
+    reports: Arc<Mutex<HashMap<String, u64>>>,
+}
+
+impl Control {
+    pub fn start() -> std::io::Result<Self> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let control = Self { address: socket.local_addr()?, reports: Arc::default() };
+        let reports = control.reports.clone();
+        thread::spawn(move || {
+            let mut bytes = [0; 512];
+            while let Ok(len) = socket.recv(&mut bytes) {
+                // A report reads `lease NAME STATE`.
+                let text = String::from_utf8_lossy(&bytes[..len]);
+                let name = text.split(' ').nth(1).unwrap_or("?").to_string();
+                *reports.lock().unwrap().entry(name).or_default() += 1;
+            }
+        });
+        Ok(control)
+    }
+
+    /// Reports from `name` so far.
+    pub fn reports(&self, name: &str) -> u64 {
+        self.reports.lock().unwrap().get(name).copied().unwrap_or(0)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! All decisions are in [`brain`]; the types it speaks are in [`interface`]. [`core`] owns all state and
 //! turns inputs into effects; [`net`] carries the effects out; [`settings`] reads the configuration.
-//! [`console`] and [`acme`] make an appliance of it.
+//! [`console`] and [`acme`] make an appliance of it. [`lab`] starts processes of it and puts faults between them.
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
@@ -21,6 +21,10 @@
 pub mod interface;
 #[forbid(unsafe_code)]
 pub mod json;
+// The lab's shapes are told once, at the head of each of its modules (the history's schema above all).
+#[allow(missing_docs)]
+#[forbid(unsafe_code)]
+pub mod lab;
 pub mod net;
 #[forbid(unsafe_code)]
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,11 @@
-//! One server: configuration, signals, and the reducer's thread; or the console's client.
+//! One server: configuration, signals, and the reducer's thread; or the console's client; or the laboratory.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::{Parser, Subcommand};
+use hopwalk::lab;
+
 use hopwalk::net::{start_runtime, Handle, Node};
 use hopwalk::settings::{Appliance, Config};
 use hopwalk::{acme, console, settings};
@@ -11,8 +14,57 @@
 use tracing::warn;
 use tracing_subscriber::EnvFilter;
 
-const USAGE: &str = "usage: hopwalk                                  one server, set up by RELAY_*\n\
-                    \x20      hopwalk console [--socket PATH] [WORD ...]  speak to one on this machine";
+/// A matchmaking server that keeps its promises under overload.
+#[derive(Parser)]
+#[command(name = "hopwalk", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Word>,
+}
+
+#[derive(Subcommand)]
+enum Word {
+    /// One server, set up by RELAY_CONFIG and the other RELAY_* variables (the same as no word at all).
+    Serve,
+    /// Speak to a server on this machine through its console socket.
+    Console {
+        /// The console's socket; by default the one of the appliance's file.
+        #[arg(long)]
+        socket: Option<PathBuf>,
+        /// Words to say, then leave; none gives a prompt.
+        words: Vec<String>,
+    },
+    /// The laboratory: matchers as processes, stand-ins, a fault net, a checker and reports.
+    Lab {
+        #[command(subcommand)]
+        command: LabWord,
+    },
+}
+
+#[derive(Subcommand)]
+enum LabWord {
+    /// Plays a scenario (JSON); without one, 3 matchers for 60 s with a burst and a partition from the vault.
+    Run {
+        scenario: Option<PathBuf>,
+        /// Where the history and the matchers' files go; a new folder under the temporary one by default.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Seconds to play instead of the scenario's.
+        #[arg(long)]
+        seconds: Option<f64>,
+    },
+    /// Judges a history by the four rules; exits 1 if one was broken.
+    Check {
+        history: PathBuf,
+        /// Milliseconds an answer may come after its due time.
+        #[arg(long, default_value_t = lab::run::SLACK_MS)]
+        slack_ms: u64,
+    },
+    /// Served share, latency by class, and each second of a history.
+    Report { history: PathBuf },
+    /// Prints the default scenario.
+    Scenario,
+}
 
 /// Logs go to standard error; nothing is logged for a single request unless it is asked for.
 fn start_log() -> Result<(), String> {
@@ -58,24 +110,91 @@
     node.run()
 }
 
-fn console_client(words: &[String]) -> Result<(), String> {
-    let (socket, words) = match words {
-        [flag, path, rest @ ..] if flag == "--socket" => (Some(PathBuf::from(path)), rest),
-        _ => (Appliance::from_env().map_err(|e| e.to_string())?.console, words),
+fn console_client(socket: Option<PathBuf>, words: &[String]) -> Result<(), String> {
+    let socket = match socket {
+        Some(socket) => Some(socket),
+        None => Appliance::from_env().map_err(|e| e.to_string())?.console,
     };
     let socket = socket.ok_or("console.socket: is not set, and --socket names none")?;
     console::client(&socket, words)
 }
 
+fn lab_run(scenario: Option<PathBuf>, out: Option<PathBuf>, seconds: Option<f64>) -> Result<bool, String> {
+    let text = match &scenario {
+        Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?,
+        None => lab::scenario::DEFAULT.to_string(),
+    };
+    let mut scenario = lab::scenario::Scenario::parse(&text)?;
+    if let Some(seconds) = seconds.filter(|s| *s > 0.0 && *s <= lab::scenario::MOST_SECONDS) {
+        scenario.seconds = seconds;
+    }
+    let folder =
+        out.unwrap_or_else(|| std::env::temp_dir().join(format!("hopwalk-lab-{}", std::process::id())));
+    let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
+    may::config().set_workers(4);
+    let bar = indicatif::ProgressBar::new(scenario.seconds.ceil() as u64);
+    bar.set_style(
+        indicatif::ProgressStyle::with_template("{elapsed_precise} [{bar:40}] {pos}/{len} s  {msg}")
+            .map_err(|e| e.to_string())?,
+    );
+    bar.set_message(format!("{} matchers, {} faults", scenario.matchers, scenario.faults.len()));
+    let shown = bar.clone();
+    let progress = Box::new(move |done, _| shown.set_position(done));
+    let outcome = lab::run::run(&scenario, lab::run::Options { program, folder, progress })?;
+    bar.finish_and_clear();
+    let (records, _) = lab::history::read(&outcome.history)?;
+    let report = lab::report::Report::of(&records);
+    println!(
+        "{} s, asked {}, sent {}, not sent (load tool full) {}, served share {:.3}",
+        outcome.seconds.round(),
+        outcome.asked,
+        outcome.sent,
+        outcome.not_sent,
+        report.served_share()
+    );
+    print!("{}", outcome.verdict.table());
+    println!("history: {}", outcome.history.display());
+    Ok(outcome.verdict.clean())
+}
+
+fn lab_check(history: &std::path::Path, slack_ms: u64) -> Result<bool, String> {
+    let (records, bad) = lab::history::read(history)?;
+    for (line, e) in &bad {
+        eprintln!("hopwalk: {}: line {line}: {e}", history.display());
+    }
+    let verdict = lab::check::check(&records, slack_ms);
+    print!("{}", verdict.table());
+    Ok(verdict.clean() && bad.is_empty())
+}
+
 fn main() -> ExitCode {
-    let words: Vec<String> = std::env::args().skip(1).collect();
-    let done = match words.split_first() {
-        None => serve(),
-        Some((word, rest)) if word == "console" => console_client(rest),
-        Some(_) => Err(USAGE.to_string()),
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        // Help and version go to standard output with status 0; mistakes to standard error with 2.
+        Err(e) => {
+            let _ = e.print();
+            return if e.use_stderr() { ExitCode::from(2) } else { ExitCode::SUCCESS };
+        }
+    };
+    let done = match cli.command {
+        None | Some(Word::Serve) => serve().map(|()| true),
+        Some(Word::Console { socket, words }) => console_client(socket, &words).map(|()| true),
+        Some(Word::Lab { command }) => match command {
+            LabWord::Run { scenario, out, seconds } => lab_run(scenario, out, seconds),
+            LabWord::Check { history, slack_ms } => lab_check(&history, slack_ms),
+            LabWord::Report { history } => lab::history::read(&history).map(|(records, _)| {
+                print!("{}", lab::report::Report::of(&records).table());
+                true
+            }),
+            LabWord::Scenario => {
+                print!("{}", lab::scenario::DEFAULT);
+                Ok(true)
+            }
+        },
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
         Err(message) => {
             eprintln!("hopwalk: {message}");
             ExitCode::from(2)
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -12,7 +12,7 @@
 use hopwalk::settings::{Appliance, Config, Site};
 use rstest::rstest;
 
-const SITE: &str = include_str!("site.json");
+const SITE: &str = include_str!("../src/lab/site.json");
 const HEAD: &str =
     "X-Request-Id: 9b1f03aa5c7e2d41\r\nX-Request-Start: 1764576000123\r\nX-Memory-Kb: 24.5\r\n";
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -11,7 +11,7 @@
 use hopwalk::settings::Site;
 use rstest::rstest;
 
-const SITE: &str = include_str!("site.json");
+const SITE: &str = include_str!("../src/lab/site.json");
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(1_000_000 + n)
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -169,7 +169,7 @@
     #[case] to: &str,
     #[case] says: &str,
 ) {
-    let site = include_str!("../site.json").replace(from, to);
+    let site = include_str!("../../src/lab/site.json").replace(from, to);
     let config = format!(r#"{{"name":"n","listen":"127.0.0.1:0","agent":"127.0.0.1:1","settings":{site}}}"#);
     let (child, _dir) = spawn_program(&config, "{}");
     let output = child.wait_with_output().unwrap();
@@ -338,7 +338,7 @@
 fn a_second_program_does_not_share_the_address() {
     let agent = Agent::start(1, QUICK, false);
     let first = Program::start(with_agent(&agent));
-    let (site, listen) = (include_str!("../site.json"), first.http);
+    let (site, listen) = (include_str!("../../src/lab/site.json"), first.http);
     let config = format!(r#"{{"name":"n","listen":"{listen}","agent":"127.0.0.1:1","settings":{site}}}"#);
     let (child, _dir) = spawn_program(&config, "{}");
     let second = child.wait_with_output().unwrap();
