Prove the lab's hard cases on real processes, and end runs at calls as the agent does

Change: tests/lab.rs plays five seeded scenarios (a matcher killed mid-request and restarted, one paused 10 s, a matcher cut from the vault, the agent link reset every second, callers throttled to 10 KB/s) and asserts the checker's verdict.

Fix in the lab's agent: after a 5 s cut from the vault, m1 turned away all callers for the 23 s that were left (503 in every second) with "at calls 6" in its log. Ruled out the fault net (a new test cuts and heals a link and asks through it). The stand-in kept a run that waited at a call for 10 s and then said `complete`; the protocol says such a run ends `cancelled` once its request is over (stand_in.rs, run). The lab's agents now learn each request's deadline from the load tool.

--- a/src/lab/load.rs
+++ b/src/lab/load.rs
@@ -11,6 +11,7 @@
 use super::history::{Event, Recorder};
 use super::random::Random;
 use super::scenario::Load;
+use super::stand_in::Deadlines;
 
 /// Requests out at once; an arrival beyond it is not sent, and counted.
 pub const MOST_OUT: u64 = 30_000;
@@ -41,6 +42,7 @@
     seed: u64,
     targets: Targets,
     history: Recorder,
+    deadlines: Deadlines,
     stop: &AtomicBool,
 ) -> Arc<Tally> {
     let tally = Arc::new(Tally::default());
@@ -93,6 +95,7 @@
             due_ms: t + load.patience_ms,
         };
         history.record(sent);
+        deadlines.insert(&id, Instant::now() + Duration::from_millis(load.patience_ms));
         tally.sent.fetch_add(1, Ordering::Relaxed);
         tally.out.fetch_add(1, Ordering::Relaxed);
         let (history, tally, wait) =
--- a/src/lab/net.rs
+++ b/src/lab/net.rs
@@ -297,6 +297,32 @@
         assert_eq!(Faults { half_close: true, ..none }.plan(Way::Back, 1, 0.0), Step::HalfClose);
     }
 
+    fn ask(at: SocketAddr) -> std::io::Result<String> {
+        use std::io::{BufRead, BufReader};
+        let mut stream = TcpStream::connect(at)?;
+        stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+        stream.write_all(b"ask 00000000000000aa x 2\r\nhi\r\n")?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(line)
+    }
+
+    #[test]
+    fn a_cut_ends_what_is_open_refuses_what_comes_and_heals() {
+        let vault = super::super::stand_in::vault();
+        let link = Link::start("m1-vault", vault, 7, None).unwrap();
+        assert_eq!(ask(link.address).unwrap(), "00000000000000aa yes 8\r\n");
+        let mut open = TcpStream::connect(link.address).unwrap();
+        open.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        super::super::stand_in::wait_for("the connection", || link.open() == 1);
+        link.set(Faults { cut: true, ..Faults::default() });
+        assert!(matches!(open.read(&mut [0; 8]), Ok(0) | Err(_)), "an open connection ends");
+        assert!(ask(link.address).map_or(true, |line| line.is_empty()), "a new one gets nothing");
+        link.set(Faults::default());
+        assert_eq!(ask(link.address).unwrap(), "00000000000000aa yes 8\r\n");
+        super::super::stand_in::wait_for("the count of what is open", || link.open() <= 1);
+    }
+
     #[test]
     fn a_one_way_fault_leaves_the_way_back_alone() {
         let faults = Faults { cut: true, one_way: true, ..Faults::default() };
--- /dev/null
+++ b/tests/lab.rs
@@ -0,0 +1,132 @@
+//! The lab's hard cases: real processes of the program, faults between them, and the checker's verdict.
+//! Each scenario has a fixed seed, printed; a failure prints the verdict's table with the ids at fault.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hopwalk::lab::check::Verdict;
+use hopwalk::lab::history::{self, Event, Record};
+use hopwalk::lab::run::{run, Options};
+use hopwalk::lab::scenario::Scenario;
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+struct Played {
+    verdict: Verdict,
+    records: Vec<Record>,
+    folder: PathBuf,
+}
+
+impl Drop for Played {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn play(scenario: &str) -> Played {
+    let scenario = Scenario::parse(scenario).unwrap();
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("hopwalk-lab-test-{}-{n}", std::process::id()));
+    println!("seed {:x}, folder {}", scenario.seed, folder.display());
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_hopwalk"));
+    let options = Options { program, folder: folder.clone(), progress: Box::new(|_, _| {}) };
+    let outcome = run(&scenario, options).unwrap();
+    let (records, bad) = history::read(&outcome.history).unwrap();
+    assert!(bad.is_empty(), "{bad:?}");
+    Played { verdict: outcome.verdict, records, folder }
+}
+
+impl Played {
+    /// Answers of this status to requests sent to `to` from `after_ms` on.
+    fn answers(&self, to: &str, status: u16, after_ms: u64) -> usize {
+        let sent: std::collections::HashSet<&str> = self
+            .records
+            .iter()
+            .filter_map(|r| match &r.event {
+                Event::Send { id, to: at, .. } if at == to && r.t_ms >= after_ms => Some(id.as_str()),
+                _ => None,
+            })
+            .collect();
+        let of = |r: &&Record| matches!(&r.event, Event::Answer { id, status: s } if *s == status && sent.contains(id.as_str()));
+        self.records.iter().filter(of).count()
+    }
+
+    fn assert_clean(&self) {
+        assert_eq!(self.verdict.breaks(), 0, "{}", self.verdict.table());
+        assert_eq!(self.verdict.dropped, 0);
+    }
+}
+
+#[test]
+fn a_matcher_killed_mid_request_loses_only_what_it_held() {
+    let played = play(
+        r#"{"seed":"a1","seconds":8,"matchers":2,"agent":{"cores":6,"work_ms":200},
+            "load":{"rate":60,"patience_ms":1500},
+            "faults":[{"kind":"kill","target":"m1","at_s":3,"restart_after_s":2}]}"#,
+    );
+    // Keys live in memory and end with the process (a known limit): a repeat after the restart runs its key
+    // again. The checker finds each such key, and nothing else breaks.
+    let table = played.verdict.table();
+    for id in played.verdict.named.get("run_twice").into_iter().flatten() {
+        let runs: Vec<u64> = played
+            .records
+            .iter()
+            .filter(|r| matches!(&r.event, Event::Run { id: of, .. } if of == id))
+            .map(|r| r.t_ms)
+            .collect();
+        assert!(runs.len() == 2 && runs[0] < 3_000 && runs[1] > 5_000, "{id} ran at {runs:?}: {table}");
+    }
+    let others = played.verdict.breaks() - played.verdict.counts["run_twice"];
+    assert_eq!((others, played.verdict.dropped), (0, 0), "{table}");
+    assert!(played.verdict.counts["lost_with_kill"] > 0, "{table}");
+    assert!(played.answers("m1", 200, 5_500) > 0, "the restarted matcher serves");
+    assert!(played.answers("m2", 200, 0) > 100);
+}
+
+#[test]
+fn a_matcher_paused_ten_seconds_holds_only_its_own_callers() {
+    let played = play(
+        r#"{"seed":"a2","seconds":14,"matchers":2,"load":{"rate":40,"patience_ms":1500},
+            "faults":[{"kind":"pause","target":"m1","at_s":2,"for_s":10}]}"#,
+    );
+    played.assert_clean();
+    assert!(played.verdict.counts["held_by_pause"] > 0, "{}", played.verdict.table());
+    assert!(played.answers("m1", 200, 12_500) > 0, "the continued matcher serves again");
+}
+
+#[test]
+fn a_matcher_cut_from_the_vault_fails_its_calls_and_keeps_the_rules() {
+    let played = play(
+        r#"{"seed":"a3","seconds":10,"matchers":2,"load":{"rate":60,"patience_ms":1500},
+            "faults":[{"kind":"partition","a":["m1"],"b":["vault"],"at_s":2,"for_s":5}]}"#,
+    );
+    played.assert_clean();
+    let failed = played.answers("m1", 500, 2_000) + played.answers("m1", 503, 2_000);
+    assert!(failed > 0, "calls below failed while cut: {}", played.verdict.table());
+    assert!(played.answers("m1", 200, 8_000) > 0, "served again after the heal");
+}
+
+#[test]
+fn a_link_to_the_agent_that_resets_every_second_keeps_the_rules() {
+    let played = play(
+        r#"{"seed":"a4","seconds":9,"matchers":2,"load":{"rate":60,"patience_ms":1500},
+            "faults":[{"kind":"reset","link":"m1-agent","at_s":1,"for_s":7,"every_ms":1000}]}"#,
+    );
+    played.assert_clean();
+    let resets =
+        played.records.iter().filter(|r| matches!(&r.event, Event::Fault { kind, .. } if kind == "reset"));
+    assert_eq!(resets.count(), 7);
+    assert!(played.answers("m1", 200, 0) > 50, "{}", played.verdict.table());
+}
+
+#[test]
+fn callers_throttled_to_ten_kilobytes_a_second_keep_the_rules() {
+    let played = play(
+        r#"{"seed":"a5","seconds":8,"matchers":2,"load":{"rate":60,"patience_ms":1500},
+            "faults":[{"kind":"throttle","link":"callers-m1","bps":10000,"at_s":1,"for_s":6}]}"#,
+    );
+    played.assert_clean();
+    assert!(played.answers("m1", 200, 1_000) > 50, "{}", played.verdict.table());
+}
