--- a/src/lab/load.rs
+++ b/src/lab/load.rs
@@ -17,6 +17,8 @@
 pub const MOST_OUT: u64 = 30_000;
 /// Keys kept for repeats.
 const KEYS_KEPT: usize = 1024;
+/// A key is repeated only this long after its first try: well inside the site's window of 13,356 ms.
+const REPEAT_WITHIN: Duration = Duration::from_secs(10);
 /// Bytes of an answer read at most.
 const MOST_ANSWER: usize = 64 * 1024;
 /// How long a caller waits past its due time before it calls the request gone.
@@ -47,7 +49,7 @@
 ) -> Arc<Tally> {
     let tally = Arc::new(Tally::default());
     let mut random = Random::new(seed ^ 0x10ad);
-    let mut keys: Vec<(String, usize, String)> = Vec::new();
+    let mut keys: Vec<(String, usize, String, Instant)> = Vec::new();
     let began = Instant::now();
     let mut next = 0.0;
     let mut n = 0u64;
@@ -66,16 +68,17 @@
         // The platform's ids are 16 hex digits: six of the seed, ten of the count.
         let id = format!("{:06x}{n:010x}", seed & 0xff_ffff);
         let matchers = targets.lock().unwrap().len().max(1);
+        keys.retain(|(.., first)| first.elapsed() < REPEAT_WITHIN);
         let (class, key, to, body_id) = if random.unit() < load.keyed_share {
             if !keys.is_empty() && random.unit() < load.repeat_share {
-                let (key, to, first) = keys[(random.next_u64() % keys.len() as u64) as usize].clone();
+                let (key, to, first, _) = keys[(random.next_u64() % keys.len() as u64) as usize].clone();
                 ("lobby-confirm", key, to, first)
             } else {
                 let (key, to) = (format!("k{id}"), (random.next_u64() % matchers as u64) as usize);
                 if keys.len() == KEYS_KEPT {
                     keys.remove(0);
                 }
-                keys.push((key.clone(), to, id.clone()));
+                keys.push((key.clone(), to, id.clone(), Instant::now()));
                 ("lobby-confirm", key, to, id.clone())
             }
         } else {
--- a/src/lab/report.rs
+++ b/src/lab/report.rs
@@ -122,6 +122,127 @@
     }
 }
 
+/// Picks one figure of a second.
+type Pick = fn(&Second) -> u64;
+
+/// Windows of faults and pauses, in seconds, from a history: (from, to, what).
+pub fn windows(records: &[Record]) -> Vec<(f64, f64, String)> {
+    let mut open: HashMap<String, f64> = HashMap::new();
+    let mut all = Vec::new();
+    let end = records.last().map_or(0.0, |r| r.t_ms as f64 / 1000.0);
+    for Record { t_ms, event } in records {
+        let t = *t_ms as f64 / 1000.0;
+        let (name, begins) = match event {
+            Event::Fault { kind, target, phase } if kind == "reset" => {
+                all.push((t, t + 0.1, format!("reset {target}")));
+                continue;
+            }
+            Event::Fault { target, phase, .. } => (format!("fault {target}"), phase == "start"),
+            Event::Process { name, what } if what == "pause" || what == "continue" => {
+                (format!("pause {name}"), what == "pause")
+            }
+            Event::Process { name, what } if what == "kill" || what == "start" => {
+                (format!("down {name}"), what == "kill")
+            }
+            _ => continue,
+        };
+        match (begins, open.remove(&name)) {
+            (true, None) => drop(open.insert(name, t)),
+            (true, Some(from)) => {
+                all.push((from, t, name.clone()));
+                open.insert(name, t);
+            }
+            (false, Some(from)) => all.push((from, t, name)),
+            (false, None) => {}
+        }
+    }
+    all.extend(open.into_iter().map(|(name, from)| (from, end, name)));
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
+
+/// Draws served, turned away and lost a second, with the windows of faults shaded, as SVG (with labels) and as
+/// PNG (lines only: the bitmap backend has no fonts here).
+pub fn plot(
+    report: &Report,
+    windows: &[(f64, f64, String)],
+    svg: &std::path::Path,
+    png: &std::path::Path,
+) -> Result<(), String> {
+    use plotters::prelude::*;
+    fn draw<DB: DrawingBackend>(
+        root: DrawingArea<DB, plotters::coord::Shift>,
+        report: &Report,
+        windows: &[(f64, f64, String)],
+        labels: bool,
+    ) -> Result<(), String>
+    where
+        DB::ErrorType: 'static,
+    {
+        let e = |e: DrawingAreaErrorKind<DB::ErrorType>| e.to_string();
+        root.fill(&WHITE).map_err(e)?;
+        let seconds = report.seconds.len().max(1) as f64;
+        let top = report
+            .seconds
+            .iter()
+            .map(|s| s.served.max(s.turned_away).max(s.lost).max(s.failed))
+            .max()
+            .unwrap_or(1)
+            .max(1) as f64
+            * 1.1;
+        let mut builder = ChartBuilder::on(&root);
+        builder.margin(12);
+        if labels {
+            builder
+                .caption("served, turned away and lost a second; faults shaded", ("sans-serif", 18))
+                .x_label_area_size(30)
+                .y_label_area_size(48);
+        }
+        let mut chart = builder.build_cartesian_2d(0.0..seconds, 0.0..top).map_err(e)?;
+        if labels {
+            chart.configure_mesh().x_desc("second").y_desc("answers").draw().map_err(e)?;
+        }
+        let shade = RGBColor(200, 200, 200).mix(0.5).filled();
+        chart
+            .draw_series(
+                windows.iter().map(|(from, to, _)| Rectangle::new([(*from, 0.0), (*to, top)], shade)),
+            )
+            .map_err(e)?;
+        let line = |pick: fn(&Second) -> u64| -> Vec<(f64, f64)> {
+            report
+                .seconds
+                .iter()
+                .enumerate()
+                .map(|(s, second)| (s as f64 + 0.5, pick(second) as f64))
+                .collect()
+        };
+        let series: [(Pick, RGBColor, &str); 3] = [
+            (|s| s.served, RGBColor(0, 140, 60), "served"),
+            (|s| s.turned_away, RGBColor(230, 140, 0), "turned away"),
+            (|s| s.lost + s.failed, RGBColor(200, 0, 0), "lost or failed"),
+        ];
+        for (pick, color, name) in series {
+            let drawn = chart.draw_series(LineSeries::new(line(pick), color.stroke_width(2))).map_err(e)?;
+            if labels {
+                drawn
+                    .label(name)
+                    .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color.stroke_width(2)));
+            }
+        }
+        if labels {
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK)
+                .draw()
+                .map_err(e)?;
+        }
+        root.present().map_err(e)
+    }
+    draw(SVGBackend::new(svg, (960, 480)).into_drawing_area(), report, windows, true)?;
+    draw(BitMapBackend::new(png, (960, 480)).into_drawing_area(), report, windows, false)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -151,6 +272,18 @@
         assert_eq!((report.sent, report.served), (3, 1));
         assert_eq!(report.seconds[0].served, 1);
         assert_eq!((report.seconds[1].turned_away, report.seconds[1].lost), (1, 1));
+        let fault = |t, phase: &str| Record {
+            t_ms: t,
+            event: Event::Fault { kind: "cut".into(), target: "m1-vault".into(), phase: phase.into() },
+        };
+        let pause = Record { t_ms: 3000, event: Event::Process { name: "m1".into(), what: "pause".into() } };
+        let shaded = windows(&[fault(1000, "start"), fault(2000, "end"), pause, fault(4000, "start")]);
+        let shaded: Vec<_> = shaded.into_iter().map(|(a, b, _)| (a, b)).collect();
+        assert_eq!(
+            shaded,
+            [(1.0, 2.0), (3.0, 4.0), (4.0, 4.0)],
+            "what is open at the end ends with the history"
+        );
         let (n, p50, _, _, max) = report.latency["queue-status"];
         assert_eq!((n, p50), (2, 50));
         assert!((999..=1001).contains(&max), "{max}");
--- a/src/main.rs
+++ b/src/main.rs
@@ -59,9 +59,17 @@
         /// Milliseconds an answer may come after its due time.
         #[arg(long, default_value_t = lab::run::SLACK_MS)]
         slack_ms: u64,
+        /// Milliseconds after a key's first try in which a repeat must not run it again.
+        #[arg(long, default_value_t = lab::run::KEY_WINDOW_MS)]
+        window_ms: u64,
+    },
+    /// Served share, latency by class, and each second of a history; `--plot` draws it as SVG and PNG.
+    Report {
+        history: PathBuf,
+        /// Writes PLOT.svg and PLOT.png.
+        #[arg(long)]
+        plot: Option<PathBuf>,
     },
-    /// Served share, latency by class, and each second of a history.
-    Report { history: PathBuf },
     /// Prints the default scenario.
     Scenario,
 }
@@ -154,19 +162,41 @@
     );
     print!("{}", outcome.verdict.table());
     println!("history: {}", outcome.history.display());
+    let plot = outcome.history.with_file_name("plot");
+    match lab::report::plot(
+        &report,
+        &lab::report::windows(&records),
+        &plot.with_extension("svg"),
+        &plot.with_extension("png"),
+    ) {
+        Ok(()) => println!("plots: {}.svg and .png", plot.display()),
+        Err(e) => eprintln!("hopwalk: the plot: {e}"),
+    }
     Ok(outcome.verdict.clean())
 }
 
-fn lab_check(history: &std::path::Path, slack_ms: u64) -> Result<bool, String> {
+fn lab_check(history: &std::path::Path, slack_ms: u64, window_ms: u64) -> Result<bool, String> {
     let (records, bad) = lab::history::read(history)?;
     for (line, e) in &bad {
         eprintln!("hopwalk: {}: line {line}: {e}", history.display());
     }
-    let verdict = lab::check::check(&records, slack_ms);
+    let verdict = lab::check::check(&records, slack_ms, window_ms);
     print!("{}", verdict.table());
     Ok(verdict.clean() && bad.is_empty())
 }
 
+fn lab_report(history: &std::path::Path, plot: Option<PathBuf>) -> Result<bool, String> {
+    let (records, _) = lab::history::read(history)?;
+    let report = lab::report::Report::of(&records);
+    print!("{}", report.table());
+    if let Some(plot) = plot {
+        let (svg, png) = (plot.with_extension("svg"), plot.with_extension("png"));
+        lab::report::plot(&report, &lab::report::windows(&records), &svg, &png)?;
+        println!("plots: {} {}", svg.display(), png.display());
+    }
+    Ok(true)
+}
+
 fn main() -> ExitCode {
     let cli = match Cli::try_parse() {
         Ok(cli) => cli,
@@ -181,11 +211,8 @@
         Some(Word::Console { socket, words }) => console_client(socket, &words).map(|()| true),
         Some(Word::Lab { command }) => match command {
             LabWord::Run { scenario, out, seconds } => lab_run(scenario, out, seconds),
-            LabWord::Check { history, slack_ms } => lab_check(&history, slack_ms),
-            LabWord::Report { history } => lab::history::read(&history).map(|(records, _)| {
-                print!("{}", lab::report::Report::of(&records).table());
-                true
-            }),
+            LabWord::Check { history, slack_ms, window_ms } => lab_check(&history, slack_ms, window_ms),
+            LabWord::Report { history, plot } => lab_report(&history, plot),
             LabWord::Scenario => {
                 print!("{}", lab::scenario::DEFAULT);
                 Ok(true)
