--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -3,6 +3,7 @@
 //! program's own parts never use it.
 
 pub mod check;
+pub mod datagram;
 pub mod history;
 pub mod load;
 pub mod net;
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -75,8 +75,8 @@
         std::fs::write(&config, &self.config)
             .and_then(|_| std::fs::write(&appliance, "{}"))
             .map_err(|e| e.to_string())?;
+        // Started with no word, as the platform's `run` line starts it; older versions know no other.
         let mut child = Command::new(program)
-            .arg("serve")
             .env("TMPDIR", &dir)
             .env("RELAY_CONFIG", &config)
             .env("RELAY_APPLIANCE", &appliance)
--- a/src/main.rs
+++ b/src/main.rs
@@ -52,6 +52,9 @@
         /// Seconds to play instead of the scenario's.
         #[arg(long)]
         seconds: Option<f64>,
+        /// The program to start as matchers: this one by default; another version of it to compare.
+        #[arg(long)]
+        program: Option<PathBuf>,
     },
     /// Judges a history by the four rules; exits 1 if one was broken.
     Check {
@@ -127,7 +130,12 @@
     console::client(&socket, words)
 }
 
-fn lab_run(scenario: Option<PathBuf>, out: Option<PathBuf>, seconds: Option<f64>) -> Result<bool, String> {
+fn lab_run(
+    scenario: Option<PathBuf>,
+    out: Option<PathBuf>,
+    seconds: Option<f64>,
+    program: Option<PathBuf>,
+) -> Result<bool, String> {
     let text = match &scenario {
         Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?,
         None => lab::scenario::DEFAULT.to_string(),
@@ -138,7 +146,10 @@
     }
     let folder =
         out.unwrap_or_else(|| std::env::temp_dir().join(format!("hopwalk-lab-{}", std::process::id())));
-    let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
+    let program = match program {
+        Some(program) => program,
+        None => std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?,
+    };
     may::config().set_workers(4);
     let bar = indicatif::ProgressBar::new(scenario.seconds.ceil() as u64);
     bar.set_style(
@@ -210,7 +221,7 @@
         None | Some(Word::Serve) => serve().map(|()| true),
         Some(Word::Console { socket, words }) => console_client(socket, &words).map(|()| true),
         Some(Word::Lab { command }) => match command {
-            LabWord::Run { scenario, out, seconds } => lab_run(scenario, out, seconds),
+            LabWord::Run { scenario, out, seconds, program } => lab_run(scenario, out, seconds, program),
             LabWord::Check { history, slack_ms, window_ms } => lab_check(&history, slack_ms, window_ms),
             LabWord::Report { history, plot } => lab_report(&history, plot),
             LabWord::Scenario => {
