Make the lab's reset and throttle tests able to fail, and drop what nobody read

Seen on reading the whole change: the reset test counted the lab's own records of resets and would pass if a reset broke nothing; the throttle test would pass with no throttle. Link::bytes, Control::reports and Tally::answered were kept but never read. The load tool scanned and shifted its list of 1,024 keys on every arrival.

Change: the reset test asserts that the matcher linked to its agent again at least 5 times (its own log); the throttle test that m1's callers' median time is 30 ms or more above m2's.

--- a/src/lab/load.rs
+++ b/src/lab/load.rs
@@ -2,6 +2,7 @@
 //! Poisson process at the rate of the moment), and never wait for answers; each request is a coroutine with a
 //! connection of its own. What it sends and hears goes to the history.
 
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,7 +34,6 @@
     pub asked: AtomicU64,
     pub sent: AtomicU64,
     pub not_sent: AtomicU64,
-    pub answered: AtomicU64,
     pub out: AtomicU64,
 }
 
@@ -49,7 +49,8 @@
 ) -> Arc<Tally> {
     let tally = Arc::new(Tally::default());
     let mut random = Random::new(seed ^ 0x10ad);
-    let mut keys: Vec<(String, usize, String, Instant)> = Vec::new();
+    // Oldest first: what is too old for a repeat leaves at the front, in O(1) an arrival.
+    let mut keys: VecDeque<(String, usize, String, Instant)> = VecDeque::new();
     let began = Instant::now();
     let mut next = 0.0;
     let mut n = 0u64;
@@ -68,7 +69,9 @@
         // The platform's ids are 16 hex digits: six of the seed, ten of the count.
         let id = format!("{:06x}{n:010x}", seed & 0xff_ffff);
         let matchers = targets.lock().unwrap().len().max(1);
-        keys.retain(|(.., first)| first.elapsed() < REPEAT_WITHIN);
+        while keys.front().is_some_and(|(.., first)| first.elapsed() >= REPEAT_WITHIN) {
+            keys.pop_front();
+        }
         let (class, key, to, body_id) = if random.unit() < load.keyed_share {
             if !keys.is_empty() && random.unit() < load.repeat_share {
                 let (key, to, first, _) = keys[(random.next_u64() % keys.len() as u64) as usize].clone();
@@ -76,9 +79,9 @@
             } else {
                 let (key, to) = (format!("k{id}"), (random.next_u64() % matchers as u64) as usize);
                 if keys.len() == KEYS_KEPT {
-                    keys.remove(0);
+                    keys.pop_front();
                 }
-                keys.push((key.clone(), to, id.clone(), Instant::now()));
+                keys.push_back((key.clone(), to, id.clone(), Instant::now()));
                 ("lobby-confirm", key, to, id.clone())
             }
         } else {
@@ -105,10 +108,7 @@
             (history.clone(), tally.clone(), Duration::from_millis(load.patience_ms) + GRACE);
         crate::net::spawn(move || {
             let event = match ask(address, &request, wait) {
-                Ok(status) => {
-                    tally.answered.fetch_add(1, Ordering::Relaxed);
-                    Event::Answer { id, status }
-                }
+                Ok(status) => Event::Answer { id, status },
                 Err(why) => Event::Gone { id, why },
             };
             history.record(event);
--- a/src/lab/net.rs
+++ b/src/lab/net.rs
@@ -94,7 +94,6 @@
     /// Raised when every connection is to end now, by RST.
     resets: AtomicU64,
     open: AtomicU64,
-    bytes: AtomicU64,
     closed: AtomicBool,
     random: Mutex<Random>,
 }
@@ -117,7 +116,6 @@
             faults: Mutex::default(),
             resets: AtomicU64::new(0),
             open: AtomicU64::new(0),
-            bytes: AtomicU64::new(0),
             closed: AtomicBool::new(false),
             random: Mutex::new(Random::new(seed)),
         });
@@ -164,11 +162,6 @@
         self.shared.open.load(Ordering::Relaxed)
     }
 
-    /// Bytes carried, both ways.
-    pub fn bytes(&self) -> u64 {
-        self.shared.bytes.load(Ordering::Relaxed)
-    }
-
     /// Stops taking connections; those open end at their next chunk.
     pub fn close(&self) {
         self.shared.closed.store(true, Ordering::SeqCst);
@@ -243,7 +236,6 @@
                     if to.write_all(&bytes[..len]).is_err() {
                         break Some(false);
                     }
-                    self.shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
                 }
                 Step::HalfClose => {
                     let _ = to.shutdown(Shutdown::Write);
--- a/src/lab/stand_in.rs
+++ b/src/lab/stand_in.rs
@@ -369,32 +369,20 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-/// A stand-in for the control plane: takes the reports of being alive, and counts them by sender.
+/// A stand-in for the control plane: takes the reports of being alive, and drops them.
 #[derive(Clone)]
 pub struct Control {
     pub address: SocketAddr,
-    reports: Arc<Mutex<HashMap<String, u64>>>,
 }
 
 impl Control {
     pub fn start() -> std::io::Result<Self> {
         let socket = UdpSocket::bind("127.0.0.1:0")?;
-        let control = Self { address: socket.local_addr()?, reports: Arc::default() };
-        let reports = control.reports.clone();
+        let control = Self { address: socket.local_addr()? };
         thread::spawn(move || {
             let mut bytes = [0; 512];
-            while let Ok(len) = socket.recv(&mut bytes) {
-                // A report reads `lease NAME STATE`.
-                let text = String::from_utf8_lossy(&bytes[..len]);
-                let name = text.split(' ').nth(1).unwrap_or("?").to_string();
-                *reports.lock().unwrap().entry(name).or_default() += 1;
-            }
+            while socket.recv(&mut bytes).is_ok() {}
         });
         Ok(control)
     }
-
-    /// Reports from `name` so far.
-    pub fn reports(&self, name: &str) -> u64 {
-        self.reports.lock().unwrap().get(name).copied().unwrap_or(0)
-    }
 }
--- a/tests/lab.rs
+++ b/tests/lab.rs
@@ -53,6 +53,23 @@
         self.records.iter().filter(of).count()
     }
 
+    /// The median time to an answer of requests sent to `to` within [from_ms, to_ms).
+    fn median_ms(&self, to: &str, from_ms: u64, to_ms: u64) -> u64 {
+        let mut sent = std::collections::HashMap::new();
+        let mut took = Vec::new();
+        for r in &self.records {
+            match &r.event {
+                Event::Send { id, to: at, .. } if at == to && (from_ms..to_ms).contains(&r.t_ms) => {
+                    sent.insert(id.clone(), r.t_ms);
+                }
+                Event::Answer { id, .. } => took.extend(sent.get(id).map(|t| r.t_ms - t)),
+                _ => {}
+            }
+        }
+        took.sort_unstable();
+        took.get(took.len() / 2).copied().unwrap_or(0)
+    }
+
     fn assert_clean(&self) {
         assert_eq!(self.verdict.breaks(), 0, "{}", self.verdict.table());
         assert_eq!(self.verdict.dropped, 0);
@@ -118,6 +135,10 @@
     let resets =
         played.records.iter().filter(|r| matches!(&r.event, Event::Fault { kind, .. } if kind == "reset"));
     assert_eq!(resets.count(), 7);
+    // The resets must reach the matcher: it links to its agent again after each.
+    let log = std::fs::read_to_string(played.folder.join("m1-1/log.txt")).unwrap();
+    let links = log.matches("linked to the agent").count();
+    assert!(links >= 5, "{links} links to the agent: the resets did not break it");
     assert!(played.answers("m1", 200, 0) > 50, "{}", played.verdict.table());
 }
 
@@ -129,4 +150,7 @@
     );
     played.assert_clean();
     assert!(played.answers("m1", 200, 1_000) > 50, "{}", played.verdict.table());
+    // The throttle must be felt: some 300 bytes out and 200 back at 10 KB/s cost m1's callers 40 ms or more.
+    let (slow, quick) = (played.median_ms("m1", 1_500, 6_500), played.median_ms("m2", 1_500, 6_500));
+    assert!(slow >= quick + 30, "median {slow} ms through the throttle, {quick} ms beside it");
 }
