End callers' connections in one place, and lose none that the system accepted

Seen, each by a test with real connections that fails on the head before (run there: 0 of these passed): - listen.rs `accept` returned once the grace was over, dropping what it had just accepted, while `Node::fronts` kept the listener open: whoever connected between then and the exit lay in the backlog and was reset with the process. `whoever_connects_during_a_drain_is_answered_or_refused`: connection reset instead of an answer. - hub.rs `open` closed a new connection unread when the table was full. `past_its_limit_a_connection_waits_for_a_place_and_takes_nobody_elses`: connection reset. - listen.rs `Held::close` shut an evicted connection both ways, and front.rs `serve` dropped a request that it had read there (`asks()` false). `a_request_that_is_there_as_its_connection_is_to_make_room_is_answered`: closed with no answer. The order is forced by stopping the process while the new connection and then the request arrive. - front.rs: an idle connection was dropped without a half-close (`an_idle_connection_is_closed_without_a_reset_...`: reset), and after an error 64 KiB were read (`what_is_turned_down_in_the_middle_...`: broken pipe at 400 KB). - front.rs `Waited::left`: half a request was turned down (408) the moment the listener closed.

Now a listener stops in an order that loses none: a packet filter drops new SYNs, handshakes under way end, the backlog is taken in, and only then the listener is closed; it belongs to its accepting coroutine alone. A connection past the limit waits unread for a place, or takes one of a few spare ones for a single answer. To evict is to ask the owner to close; a request that it reads before is answered as the last one. `closing` owns the close itself: last answer, half-close, read out. The rest of half a request is waited for 400 ms after the listener closed, half of the time until the stop. Idle connections look every 20 ms during a drain whether they are to close, before every 500 ms.

Tests: `past_its_limit_it_takes_no_connection_...` asked for the close unread that the terms now call a loss: its place takes one that asks for the answer. `two_processes_stay_within_the_descriptors_of_one` also asks for the 408 that an evicted half request now gets. Unit tests of `ports` and `front` moved to tests/connections.rs; the fuzz target `ports` is `connections`. Renamed: `Ports` ConnectionTable, `Held` ConnectionHandle, `Port` Place, `asks`/`begins`/`rests` request_read/part_read/answered.

--- a/fuzz/src/targets/mod.rs
+++ b/fuzz/src/targets/mod.rs
@@ -272,12 +272,12 @@
         run: world::succession,
     },
     Target {
-        name: "ports",
+        name: "connections",
         about: "the table of connections against a plain one",
-        files: &["src/net/ports.rs"],
+        files: &["src/net/connection_table.rs"],
         most_len: 512,
         words: &[],
-        run: tables::ports,
+        run: tables::connections,
     },
     Target {
         name: "keys",
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -18,8 +18,9 @@
 use miette::Diagnostic;
 use tracing::info;
 
+use super::closing::{close, Ending};
 use super::fields::Bad;
-use super::front::{linger, read_some};
+use super::front::read_some;
 use super::http::{body_len, read_head, response};
 use super::inlet::{Framing, Headed, Inlet, Scan};
 use super::stream::Conn;
@@ -213,7 +214,7 @@
     spawn(move || {
         let (clients, mut number) = (Clients::default(), 0);
         loop {
-            let Some(stream) = next(&listener, &hub) else { return };
+            let stream = next(&listener);
             let by = stream.peer_addr().map_or("an operator".to_string(), |at| at.to_string());
             let conn = Conn::new(stream, WRITE_PATIENCE);
             number += 1;
@@ -294,7 +295,7 @@
     };
     let body = told.as_deref().unwrap_or(if status == 200 { "yes\n" } else { "no\n" });
     if conn.write_all(&response(status, "", body.as_bytes(), true)).is_ok() {
-        linger(&mut conn);
+        close(&mut conn, Ending::Finished);
     }
 }
 
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use may::sync::mpsc as co;
 
-use super::listen::{Held, Port};
-use super::ports::Ports;
+use super::connection_table::{Admission, Capacity, ConnectionTable};
+use super::listen::{ConnectionHandle, Place};
 use super::routed::Router;
 use super::stream::Conn;
 use crate::core::{ConnId, Input, Query};
@@ -21,6 +21,11 @@
 /// Descriptors kept back for the agent, the vault, runs and calls at SCGI services, files and the runtime; half
 /// of them where there are few.
 const RESERVED_SOCKETS: usize = 128;
+/// Part of them for connections that are closing, or close after their next answer.
+const SPARE_PART: usize = 8;
+/// An idle connection looks this often whether it is to close: usually, and while the server leaves.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
+const IDLE_LOOK_DRAINING: Duration = Duration::from_millis(20);
 /// A connection that is idle for so long ends once another process takes the new ones.
 const YIELD_IDLE: Duration = Duration::from_millis(300);
 
@@ -28,14 +33,18 @@
 pub struct Hub {
     pub(super) inbox: Sender<Input>,
     pub(super) waiting: AtomicUsize,
-    pub(super) ports: Mutex<Ports<Held>>,
+    connections: Mutex<ConnectionTable<ConnectionHandle>>,
     pub(super) next_conn: AtomicU64,
     pub(super) sockets: usize,
-    pub(super) most_connections: AtomicUsize,
+    most_connections: AtomicUsize,
+    spare_connections: AtomicUsize,
     /// Calls below that may be out at once: each has a descriptor out of those kept back.
     pub(super) most_calls: AtomicUsize,
     pub(super) trim_us: AtomicU64,
-    pub(super) closed: AtomicBool,
+    /// The server has begun to leave.
+    draining: AtomicBool,
+    /// When the server stopped taking new connections.
+    closed: OnceLock<Instant>,
     /// Another process takes the new connections; those that are here end as they fall idle.
     pub(super) yields: AtomicBool,
     /// The agent was up: requests can be served.
@@ -69,13 +78,15 @@
         let hub = Self {
             inbox,
             waiting: AtomicUsize::new(0),
-            ports: Mutex::default(),
+            connections: Mutex::default(),
             next_conn: AtomicU64::new(1),
             sockets,
             most_connections: AtomicUsize::new(1),
+            spare_connections: AtomicUsize::new(0),
             most_calls: AtomicUsize::new(1),
             trim_us: AtomicU64::new(u64::MAX),
-            closed: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            closed: OnceLock::new(),
             yields: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             queries: Mutex::default(),
@@ -97,7 +108,8 @@
         let most = ((self.sockets - reserved) / parts).max(1);
         self.most_connections.store(most, Ordering::Relaxed);
         self.most_calls.store((reserved / 2 / parts).max(1), Ordering::Relaxed);
-        self.ports().shrink(most, Instant::now(), Held::close);
+        self.spare_connections.store(reserved / SPARE_PART / parts, Ordering::Relaxed);
+        self.connections().shrink(most, Instant::now(), ConnectionHandle::evict);
     }
 
     /// Calls below that may be out at once.
@@ -133,8 +145,8 @@
         self.queries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn ports(&self) -> MutexGuard<'_, Ports<Held>> {
-        self.ports.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(super) fn connections(&self) -> MutexGuard<'_, ConnectionTable<ConnectionHandle>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Where the links are to lead.
@@ -147,15 +159,26 @@
         self.classes.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// A place for a new connection, and where its answers come; none if there is no room.
-    pub(super) fn open(self: &Arc<Self>, stream: &Conn) -> Option<Port> {
+    /// A place for a new connection, and where its answers come; none while there is no room.
+    pub(super) fn admit(self: &Arc<Self>, stream: &Conn) -> Option<Place> {
         let conn = self.new_conn();
         let (answer, answers) = co::channel();
         let accepted = Instant::now();
-        let held = Held { answer, stream: stream.clone() };
-        let most = self.most_connections.load(Ordering::Relaxed);
-        let taken = self.ports().take_in(conn, held, accepted, most, Held::close);
-        taken.then(|| Port { conn, answers, accepted, hub: self.clone() })
+        let handle = ConnectionHandle { answer, stream: stream.clone() };
+        let capacity = Capacity {
+            open: self.most_connections.load(Ordering::Relaxed),
+            spare: self.spare_connections.load(Ordering::Relaxed),
+        };
+        let admission = self.connections().admit(conn, handle, accepted, capacity, ConnectionHandle::evict);
+        match admission {
+            Admission::Admitted => Some(Place { conn, answers, accepted, hub: self.clone() }),
+            Admission::Full => None,
+        }
+    }
+
+    /// Has all connections closed that are owed nothing.
+    pub(super) fn evict_all(&self) {
+        self.connections().shrink(0, Instant::now(), ConnectionHandle::evict);
     }
 
     /// How long a connection may be idle; none is kept once the server takes no new ones.
@@ -168,8 +191,32 @@
         }
     }
 
-    /// The server takes no new connections, and waits for no more of a request than is there.
+    /// The server begins to leave: connections look more often whether they are to close.
+    pub(super) fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// How often an idle connection looks whether it is to close.
+    pub(super) fn idle_look(&self) -> Duration {
+        if self.draining.load(Ordering::Relaxed) {
+            IDLE_LOOK_DRAINING
+        } else {
+            IDLE_LOOK
+        }
+    }
+
+    /// The server takes no new connections from now on.
+    pub(super) fn close(&self) {
+        let _ = self.closed.set(Instant::now());
+    }
+
+    /// The server takes no new connections.
     pub(super) fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Relaxed)
+        self.closed.get().is_some()
+    }
+
+    /// For how long the server has taken no new connections.
+    pub(super) fn closed_for(&self) -> Option<Duration> {
+        self.closed.get().map(Instant::elapsed)
     }
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,19 +1,26 @@
 //! Fronts that callers connect to: listeners, and the place of each connection among all.
+//!
+//! A connection counts as accepted once the system has completed its handshake, before this process takes it out of
+//! the listener's backlog. So a listener stops in an order that loses none: the handshakes end, what is in the backlog
+//! is taken in, and only then the listener is closed.
 
 use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::Ordering;
+use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc as co;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
-use tracing::warn;
+use tracing::{debug, warn};
 
+use super::connection_table::AfterAnswer;
 use super::hub::Hub;
 use super::stream::Conn;
-use super::{front, spawn};
+use super::{front, handshake_filter, spawn};
 use crate::core::{Answer, ConnId};
 
 /// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
@@ -21,76 +28,158 @@
 const SEND_BUFFER: usize = 16 << 10;
 /// Wait after a failed accept, so that a full table of descriptors is no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// What is held for a connection of a caller.
-pub(super) struct Held {
+/// Time between two looks whether a connection that was accepted has found room.
+const ROOM_LOOK: Duration = Duration::from_millis(2);
+/// Handshakes that were under way when new ones were shut out end within this time: some round trips of a site.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
+/// Time between two looks at the backlog meanwhile, and between two attempts to wake the accepting coroutine.
+const STOP_LOOK: Duration = Duration::from_millis(1);
+
+/// What the reducer's side keeps of a caller's connection.
+pub(super) struct ConnectionHandle {
     pub(super) answer: co::Sender<Arc<Answer>>,
     pub(super) stream: Conn,
 }
 
-impl Held {
-    /// Closes the connection to make room.
-    pub(super) fn close(&self) {
-        self.stream.shutdown(Shutdown::Both);
+impl ConnectionHandle {
+    /// Has the connection closed by its owner, to make room. Its reader wakes and finds nothing more than what the
+    /// system has received; the write side stays open for an answer.
+    pub(super) fn evict(&self) {
+        self.stream.shutdown(Shutdown::Read);
     }
 }
 
 /// A connection's place among all; it is given up however the connection's coroutine ends.
-pub(super) struct Port {
+pub(super) struct Place {
     pub(super) conn: ConnId,
     pub(super) answers: co::Receiver<Arc<Answer>>,
     pub(super) accepted: Instant,
     pub(super) hub: Arc<Hub>,
 }
 
-impl Port {
+impl Place {
     pub(super) fn serve(&self, stream: impl front::Stream, wire: impl front::Wire) {
         front::serve(stream, wire, self);
     }
 
-    /// A message was read: from now on the connection is owed an answer. False if it was closed before.
-    pub(super) fn asks(&self) -> bool {
-        self.hub.ports().asks(self.conn)
+    /// A whole request was read: from now on the connection is owed an answer.
+    pub(super) fn request_read(&self) -> AfterAnswer {
+        self.hub.connections().request_read(self.conn)
+    }
+
+    /// A part of a request was read.
+    pub(super) fn part_read(&self) {
+        self.hub.connections().part_read(self.conn);
     }
 
-    /// A part of a message was read.
-    pub(super) fn begins(&self) {
-        self.hub.ports().begins(self.conn);
+    /// The request was answered.
+    pub(super) fn answered(&self) {
+        self.hub.connections().answered(self.conn, Instant::now());
     }
 
-    /// The message was answered.
-    pub(super) fn rests(&self) {
-        self.hub.ports().rests(self.conn, Instant::now());
+    /// It is to make room for another one.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.hub.connections().is_closing(self.conn)
+    }
+
+    /// No more requests are read here.
+    pub(super) fn begin_closing(&self) {
+        self.hub.connections().begin_closing(self.conn);
     }
 }
 
-impl Drop for Port {
+impl Drop for Place {
     fn drop(&mut self) {
-        self.hub.ports().leaves(self.conn);
+        self.hub.connections().remove(self.conn);
     }
 }
 
-/// Takes connections on a front until the server leaves.
-fn accept(listener: &TcpListener, hub: &Arc<Hub>, serve: impl Fn(Conn, Port)) {
-    while let Some(stream) = next(listener, hub) {
-        if hub.is_closed() {
+/// How far a front has got in its stop.
+#[derive(Debug, Default)]
+struct StopState {
+    is_asked: AtomicBool,
+    has_begun: AtomicBool,
+    is_closed: AtomicBool,
+}
+
+/// A front that takes connections until it is stopped.
+#[derive(Clone)]
+pub(super) struct Front {
+    pub(super) address: SocketAddr,
+    state: Arc<StopState>,
+}
+
+impl Front {
+    /// Begins to stop: connections that the system has accepted are taken in, and later ones are refused.
+    pub(super) fn stop(&self) {
+        if self.state.is_asked.swap(true, Ordering::AcqRel) {
             return;
         }
-        // Past the limit new connections are closed unread; what was read keeps its descriptor.
-        let _ = SockRef::from(stream.inner()).set_send_buffer_size(SEND_BUFFER);
-        let stream = Conn::new(stream, front::WRITE_PATIENCE);
-        if let Some(port) = hub.open(&stream) {
-            serve(stream, port);
+        let front = self.clone();
+        // A connection to itself wakes the coroutine that waits for one. Where another process shares the address it
+        // may get this one instead, to which it is a caller that says nothing.
+        spawn(move || {
+            while !front.state.has_begun.load(Ordering::Acquire) {
+                drop(TcpStream::connect_timeout(&front.address, ACCEPT_PAUSE));
+                crate::net::spawn::sleep(STOP_LOOK);
+            }
+        });
+    }
+
+    /// The listener is closed, and all that the system had accepted is taken in.
+    pub(super) fn is_closed(&self) -> bool {
+        self.state.is_closed.load(Ordering::Acquire)
+    }
+}
+
+/// Takes connections on a front until it is stopped.
+fn accept(listener: TcpListener, hub: &Arc<Hub>, state: &StopState, serve: impl Fn(Conn, Place)) {
+    while !state.is_asked.load(Ordering::Acquire) {
+        take_in(next(&listener), hub, &serve);
+    }
+    state.has_begun.store(true, Ordering::Release);
+    // Where this is not to be had, a handshake that ends between the last look and the close is reset.
+    let filtered = handshake_filter::attach(listener.inner());
+    if let Err(e) = &filtered {
+        debug!("new handshakes cannot be shut out before the close: {e}");
+    }
+    let until = Instant::now() + HANDSHAKE_TIME;
+    loop {
+        while has_backlog(&listener) {
+            take_in(next(&listener), hub, &serve);
+        }
+        if filtered.is_err() || Instant::now() >= until {
+            break;
+        }
+        crate::net::spawn::sleep(STOP_LOOK);
+    }
+    drop(listener);
+    state.is_closed.store(true, Ordering::Release);
+}
+
+/// A connection is in the backlog, so that accepting does not wait.
+fn has_backlog(listener: &TcpListener) -> bool {
+    let mut looks = [PollFd::new(listener.inner().as_fd(), PollFlags::POLLIN)];
+    poll(&mut looks, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
+}
+
+/// Has a connection served, as soon as there is room for it: it waits unread rather than being closed unread.
+fn take_in(stream: TcpStream, hub: &Arc<Hub>, serve: impl Fn(Conn, Place)) {
+    let _ = SockRef::from(stream.inner()).set_send_buffer_size(SEND_BUFFER);
+    let stream = Conn::new(stream, front::WRITE_PATIENCE);
+    loop {
+        if let Some(place) = hub.admit(&stream) {
+            return serve(stream, place);
         }
+        crate::net::spawn::sleep(ROOM_LOOK);
     }
 }
 
-/// The next connection; none once the listener was shut down.
-pub(super) fn next(listener: &TcpListener, hub: &Hub) -> Option<TcpStream> {
+/// The next connection.
+pub(super) fn next(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept() {
-            Ok((stream, _)) => return Some(stream),
-            Err(_) if hub.yields.load(Ordering::Relaxed) => return None,
+            Ok((stream, _)) => return stream,
             Err(e) => {
                 warn!("accept: {e}");
                 crate::net::spawn::sleep(ACCEPT_PAUSE);
@@ -104,20 +193,16 @@
     address: SocketAddr,
     hub: &Arc<Hub>,
     shared: bool,
-    serve: impl Fn(Conn, Port) + Send + 'static,
-) -> io::Result<Arc<TcpListener>> {
+    serve: impl Fn(Conn, Place) + Send + 'static,
+) -> io::Result<Front> {
     // May's listener shares its port with any other that does the same: a second server started by mistake would
     // take half of the first one's callers. A plain listener fails where somebody listens.
     if !shared {
         drop(std::net::TcpListener::bind(address)?);
     }
-    let listener = Arc::new(TcpListener::bind(address)?);
-    let (listens, hub) = (listener.clone(), hub.clone());
-    spawn(move || accept(&listens, &hub, serve));
-    Ok(listener)
-}
-
-/// Ends the accepting coroutine on `address`, and with it the listener: it looks after each connection.
-pub(super) fn stop_listening(address: SocketAddr) {
-    spawn(move || drop(TcpStream::connect(address)));
+    let listener = TcpListener::bind(address)?;
+    let front = Front { address: listener.local_addr()?, state: Arc::default() };
+    let (hub, state) = (hub.clone(), front.state.clone());
+    spawn(move || accept(listener, &hub, &state, serve));
+    Ok(front)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,18 +5,20 @@
 
 pub mod admin;
 pub mod agent;
+mod closing;
+pub mod connection_table;
 pub mod control;
 pub mod error;
 pub mod fields;
 pub mod front;
 pub mod handover;
+mod handshake_filter;
 pub mod http;
 mod hub;
 pub mod inlet;
 pub mod lines;
 mod listen;
 mod metrics;
-pub mod ports;
 pub mod routed;
 pub mod scgi;
 mod spawn;
@@ -25,14 +27,12 @@
 pub mod vault;
 
 use std::io;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use may::net::TcpListener;
-use socket2::SockRef;
 use tracing::{info, warn};
 
 use crate::acme::Shared;
@@ -41,7 +41,7 @@
 use crate::settings::{Config, Links};
 pub use error::NodeError;
 pub use hub::Hub;
-use listen::{listen, next, stop_listening, Port};
+use listen::{listen, next, Front, Place};
 use routed::Router;
 use spawn::spawn_deep;
 pub use spawn::{spawn, start_runtime};
@@ -140,7 +140,9 @@
     runner: Runner,
     below: Below,
     control: Arc<AtomicBool>,
-    fronts: Vec<Arc<TcpListener>>,
+    fronts: Vec<Front>,
+    /// Fronts that are stopping, or have stopped.
+    stopped_fronts: Vec<Front>,
     config: Config,
     certificate: Shared,
     /// The process that ran before, until it has handed over and ended.
@@ -199,6 +201,7 @@
             below,
             control,
             fronts: Vec::new(),
+            stopped_fronts: Vec::new(),
             config: config.clone(),
             certificate,
             predecessor,
@@ -226,26 +229,25 @@
     fn open_fronts(&mut self) -> Result<(), NodeError> {
         let (hub, shared, config) = (&self.hub, self.predecessor.is_some(), &self.config);
         let mut fronts = Vec::new();
-        let mut bound = |key, front: &str, address: SocketAddr, bound: io::Result<Arc<TcpListener>>| {
-            let told = bound.and_then(|listener| Ok((listener.local_addr()?, listener)));
-            let (at, listener) = told.map_err(|source| NodeError::Front { key, address, source })?;
-            info!("{} takes {front} on {at}", config.name);
-            fronts.push(listener);
+        let mut bound = |key, wire: &str, address: SocketAddr, bound: io::Result<Front>| {
+            let front = bound.map_err(|source| NodeError::Front { key, address, source })?;
+            info!("{} takes {wire} on {}", config.name, front.address);
+            fronts.push(front);
             Ok::<(), NodeError>(())
         };
-        let plain = |stream, port: Port| spawn(move || port.serve(stream, http::Http));
+        let plain = |stream, place: Place| spawn(move || place.serve(stream, http::Http));
         bound("listen", "HTTP", config.listen, listen(config.listen, hub, shared, plain))?;
         if let Some(address) = config.appliance.scgi_listen {
-            let scgi = |stream, port: Port| spawn(move || port.serve(stream, scgi::Scgi));
+            let scgi = |stream, place: Place| spawn(move || place.serve(stream, scgi::Scgi));
             bound("scgi.listen", "SCGI", address, listen(address, hub, shared, scgi))?;
         }
         if let Some(address) = config.appliance.tls_listen {
             let tls = tls::config(self.certificate.clone())?;
-            let secure = move |stream, port: Port| {
+            let secure = move |stream, place: Place| {
                 let tls = tls.clone();
                 spawn_deep(move || {
                     if let Ok(stream) = tls::accept(stream, &tls) {
-                        port.serve(stream, http::Http);
+                        place.serve(stream, http::Http);
                     }
                 });
             };
@@ -264,7 +266,7 @@
     /// Requests can be run: the process that served before is asked to hand over, or callers are served.
     fn able(&mut self) {
         match &self.predecessor {
-            Some(predecessor) if self.fronts.is_empty() => {
+            Some(predecessor) if !self.has_opened() => {
                 let predecessor = predecessor.clone();
                 // Asked once while it waits for its lease, however often the agent greets meanwhile.
                 if self.hub.routing.is_none() || !std::mem::replace(&mut self.begins, true) {
@@ -277,7 +279,7 @@
 
     /// Takes callers; a process that served before has handed over, or is gone.
     fn take_callers(&mut self) {
-        if self.fronts.is_empty() && !self.hub.yields.load(Ordering::Relaxed) {
+        if !self.has_opened() && !self.hub.is_closed() {
             self.fault = self.open_fronts().err();
             self.hub.ready.store(true, Ordering::Release);
         }
@@ -315,7 +317,7 @@
             if let Some(fault) = self.fault {
                 return Err(fault);
             }
-            if leaving && self.hub.ports().is_empty() {
+            if leaving && self.has_closed() {
                 break;
             }
         }
@@ -330,11 +332,30 @@
         Ok(())
     }
 
+    /// The fronts were opened, whether or not they have stopped since.
+    fn has_opened(&self) -> bool {
+        !self.fronts.is_empty() || !self.stopped_fronts.is_empty()
+    }
+
+    /// Nobody can connect any more, and all connections are closed. Those that are owed nothing have had their time.
+    fn has_closed(&self) -> bool {
+        if self.hub.closed_for().is_some_and(|since| since > front::CLOSING_PATIENCE) {
+            self.hub.evict_all();
+        }
+        self.stopped_fronts.iter().all(Front::is_closed) && self.hub.connections().is_empty()
+    }
+
+    /// Stops taking connections on all fronts.
+    fn stop_fronts(&mut self) {
+        self.fronts.iter().for_each(Front::stop);
+        self.stopped_fronts.append(&mut self.fronts);
+    }
+
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { conn, answer } => {
-                if let Some(held) = self.hub.ports().get(conn) {
-                    let _ = held.answer.send(answer);
+                if let Some(handle) = self.hub.connections().get(conn) {
+                    let _ = handle.answer.send(answer);
                 } else if let Some(predecessor) = &self.predecessor {
                     predecessor.answer(conn, &answer);
                 }
@@ -367,6 +388,7 @@
             }
             Effect::Draining => {
                 info!("leaving: counters so far: {}", self.core.counters());
+                self.hub.begin_drain();
                 if let Some(fleet) = &self.hub.fleet {
                     fleet.draining(true);
                 }
@@ -383,10 +405,9 @@
                 }
             }
             Effect::StopListening => {
-                self.hub.closed.store(true, Ordering::Relaxed);
-                for listener in &self.fronts {
-                    let _ = listener.local_addr().map(stop_listening);
-                }
+                info!("takes no new connections");
+                self.hub.close();
+                self.stop_fronts();
             }
             Effect::Ready => self.able(),
             Effect::HandOver { keys, standby } => {
@@ -415,12 +436,16 @@
             }
             Effect::Yield => {
                 self.hub.yields.store(true, Ordering::Relaxed);
-                for listener in self.fronts.drain(..) {
-                    // Wakes the coroutine that accepts. A connection to the address could reach the other process.
-                    let _ = SockRef::from(listener.inner()).shutdown(Shutdown::Both);
-                }
-                // Said only now: whoever reads it finds the other process at the address, and nobody else.
-                info!("leaves to the process that took over: counters so far: {}", self.core.counters());
+                self.stop_fronts();
+                let counters = format!("{}", self.core.counters());
+                let stopped = self.stopped_fronts.clone();
+                // Said only then: whoever reads it finds the other process at the address, and nobody else.
+                spawn(move || {
+                    while !stopped.iter().all(Front::is_closed) {
+                        spawn::sleep(LEAVE_LOOK);
+                    }
+                    info!("leaves to the process that took over: counters so far: {counters}");
+                });
             }
             Effect::Leave => info!("all is answered"),
             Effect::Log(text) => info!("{text}"),
--- /dev/null
+++ b/tests/program/closing.rs
@@ -0,0 +1,150 @@
+//! How connections of callers end: nobody whose request was accepted by the system is left without an answer.
+
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use hopwalk::net::connection_table::EVICT_AFTER;
+
+use crate::stand_in::*;
+
+/// A run that no test waits for.
+const ENDLESS: Duration = Duration::from_secs(60);
+const CHECK: &[u8] = b"GET /check HTTP/1.1\r\n\r\n";
+
+/// A program whose table has room for three connections, and none to spare.
+fn with_three_places(agent: &Agent) -> Program {
+    Program::start(Setup { agent: Some(agent.address), sockets: Some(6), ..Setup::default() })
+}
+
+/// The other side has answered what was written last with a reset: on this machine that comes before the next look.
+fn was_reset(stream: &TcpStream) -> bool {
+    stream.take_error().unwrap().is_some()
+}
+
+fn send(program: &Program, ask: &Ask) -> TcpStream {
+    let mut stream = connect(program.http);
+    stream.write_all(&ask.http()).unwrap();
+    stream
+}
+
+#[test]
+fn whoever_connects_during_a_drain_is_answered_or_refused() {
+    // Guards against connections that wait in the backlog of a listener from which nobody accepts any more.
+    let agent = Agent::start(1, ENDLESS, false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut open = send(&program, &Ask { patience_ms: 10_000, ..Ask::new("queue-status", b"open") });
+    wait_for("the launch", || agent.launches().len() == 1);
+    program.signal("TERM");
+    let mut answered = 0;
+    let refused = loop {
+        match TcpStream::connect(program.http) {
+            Ok(mut stream) => {
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                stream
+                    .write_all(&Ask { patience_ms: 50, ..Ask::new("queue-status", b"next") }.http())
+                    .unwrap();
+                assert!([500, 503].contains(&read_answer(&mut stream).status));
+                answered += 1;
+            }
+            Err(e) => break e,
+        }
+    };
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    assert!(answered > 0);
+    assert_eq!(read_answer(&mut open).status, 500, "the process had not left yet");
+    assert!(program.end().success());
+}
+
+#[test]
+fn a_request_that_is_half_there_as_the_listener_closes_is_still_answered_whole() {
+    let agent = Agent::start(1, ENDLESS, false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let request = Ask::new("queue-status", b"two pieces").http();
+    let (first, second) = request.split_at(request.len() / 2);
+    let mut stream = connect(program.http);
+    stream.write_all(CHECK).unwrap();
+    assert_eq!(read_answer(&mut stream).status, 200);
+    stream.write_all(first).unwrap();
+    program.signal("TERM");
+    program.wait_for_log("takes no new connections");
+    stream.write_all(second).unwrap();
+    let answer = read_answer(&mut stream);
+    assert!(answer.status == 503 && answer.head.contains("Connection: close"), "{answer:?}");
+    assert!(is_closed(&mut stream));
+    assert!(program.end().success());
+    assert!(agent.launches().is_empty(), "what came after the grace is not run");
+}
+
+#[test]
+fn past_its_limit_a_connection_waits_for_a_place_and_takes_nobody_elses() {
+    // Guards against a connection that is closed unread though its request was accepted by the system.
+    let agent = Agent::start(3, Duration::from_millis(700), false);
+    let program = with_three_places(&agent);
+    let ask = |body| Ask { patience_ms: 4000, ..Ask::new("queue-status", body) };
+    let mut taken: Vec<_> = (0..3).map(|_| send(&program, &ask(b"in"))).collect();
+    wait_for("the requests", || agent.launches().len() == 3);
+    let mut fourth = send(&program, &ask(b"fourth"));
+    assert_eq!(program.counter("taken_in"), 3, "there is no room for a fourth yet");
+    for stream in &mut taken {
+        assert_eq!(read_answer(stream).body, b"made:in");
+    }
+    assert_eq!(read_answer(&mut fourth).body, b"made:fourth");
+}
+
+#[test]
+fn a_request_that_is_there_as_its_connection_is_to_make_room_is_answered() {
+    // Guards against a request that is read from a connection that was closed to make room, and dropped.
+    let agent = Agent::start(2, ENDLESS, false);
+    let program = with_three_places(&agent);
+    let ask = |body| Ask { patience_ms: 3000, ..Ask::new("queue-status", body) };
+    let mut idle = connect(program.http);
+    idle.write_all(CHECK).unwrap();
+    assert_eq!(read_answer(&mut idle).status, 200);
+    let answered = Instant::now();
+    let mut busy: Vec<_> = (0..2).map(|_| send(&program, &ask(b"busy"))).collect();
+    wait_for("the requests", || agent.launches().len() == 2);
+    wait_for("the time of an idle connection", || answered.elapsed() > EVICT_AFTER * 2);
+    // The process finds the new connection first, for which the idle one is to go, and then its request.
+    program.pause();
+    let mut new = send(&program, &ask(b"new"));
+    idle.write_all(&ask(b"idle").http()).unwrap();
+    program.resume();
+    let answer = read_answer(&mut idle);
+    assert!(answer.head.contains("Connection: close"), "it has made room: {answer:?}");
+    assert!([500, 503].contains(&answer.status));
+    for stream in busy.iter_mut().chain([&mut new]) {
+        assert!([500, 503].contains(&read_answer(stream).status));
+    }
+}
+
+#[test]
+fn what_is_turned_down_in_the_middle_is_read_to_its_end_before_the_close() {
+    // Guards against a close over unread bytes, which resets the connection and may overtake the answer.
+    let agent = Agent::start(1, ENDLESS, false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::new("queue-status", &[0; 400_000]).http()).unwrap();
+    let answer = read_answer(&mut stream);
+    assert!(answer.status == 413 && answer.head.contains("Connection: close"), "{answer:?}");
+    assert!(is_closed(&mut stream));
+    stream.write_all(b"and more").unwrap();
+    assert!(!was_reset(&stream));
+}
+
+#[test]
+fn an_idle_connection_is_closed_without_a_reset_of_what_crosses_the_close() {
+    let agent = Agent::start(1, ENDLESS, false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut idle = connect(program.http);
+    idle.write_all(CHECK).unwrap();
+    assert_eq!(read_answer(&mut idle).status, 200);
+    program.signal("TERM");
+    assert!(is_closed(&mut idle));
+    // It crosses the close: it is not run.
+    idle.write_all(&Ask::new("queue-status", b"late").http()).unwrap();
+    assert!(!was_reset(&idle));
+    drop(idle);
+    assert!(program.end().success());
+    assert!(agent.launches().is_empty());
+}
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -203,6 +203,23 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Has the system stop the process where it is, until [`Program::resume`].
+    pub fn pause(&self) {
+        self.signal("STOP");
+        wait_for("the stop", || self.state() == Some('T'));
+    }
+
+    /// Has a paused process go on.
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    /// The letter that the system gives for the state of the process.
+    fn state(&self) -> Option<char> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        stat.rsplit_once(") ")?.1.chars().next()
+    }
+
     /// Puts another file in the place of the configuration and has it read.
     pub fn reload(&self, changes: &[(String, String)]) {
         let change = |config: String, (from, to): &(String, String)| config.replace(from, to);
