Take signals before all else, and read the configuration again beside them

Seen: SIGTERM, SIGHUP or SIGUSR1 in the first moments of a process, before its configuration is read, end it by the signal (exit "signal: 15"), as src/main.rs `serve` registered them only after start_log and Config::from_env. And a SIGHUP whose file takes long to read held up a SIGTERM behind it: `watch_signals` read the file in the loop that takes signals, so the process never began to leave.

Mended: the signals are taken over first; reloads are read on a thread of their own, at most one waiting.

Checked: tests/program/signals.rs holds the start, or the reload, at a pipe in place of the file.

Ruled out by tests that pass before and after: SIGTERM twice, before the greeting (answers, exit 0 within stop_ms where callers close), with stop_ms of 150, 700 and 1200 ms; SIGHUP just before, after and between SIGTERMs that moves agent and vault while a call is out; other classes by SIGHUP during a drain.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet_commands;
 mod program_error;
+mod signals;
 
 #[cfg(test)]
 #[path = "../tests/common/walk.rs"]
@@ -13,13 +14,10 @@
 use clap::{Parser, Subcommand};
 use fleet_commands::FleetWord;
 use hopwalk::lab;
-use hopwalk::net::{start_runtime, Handle, Node};
+use hopwalk::net::{start_runtime, Node};
 use hopwalk::settings::{Appliance, Config};
 use hopwalk::{acme, console, settings, told};
 use program_error::ProgramError;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::iterator::Signals;
-use tracing::warn;
 use tracing_subscriber::EnvFilter;
 
 /// A matchmaking server that keeps its promises under overload.
@@ -222,33 +220,15 @@
     Ok(())
 }
 
-fn watch_signals(mut signals: Signals, handle: Handle, mut config: Config) {
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            match signal {
-                SIGUSR1 => handle.report(),
-                SIGHUP => match config.read_again() {
-                    Ok(new) => {
-                        handle.reload(&new);
-                        config = new;
-                    }
-                    Err(e) => warn!("the configuration stays as it was: {}", told::in_a_line(&e)),
-                },
-                _ => handle.drain(),
-            }
-        }
-    });
-}
-
 fn serve() -> Result<(), ProgramError> {
+    // Before all else: a signal that nobody waits for yet would end the process.
+    let signals = signals::take().map_err(ProgramError::Signals)?;
     start_log()?;
     let config = Config::from_env()?;
-    // Before anything can be seen of this process: a signal that nobody waits for yet would end it.
-    let signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(ProgramError::Signals)?;
     start_runtime();
     let certificate = acme::Shared::default();
     let node = Node::start(&config, certificate.clone())?;
-    watch_signals(signals, node.handle(), config.clone());
+    signals::watch(signals, node.handle(), config.clone());
     if let Some(acme) = config.appliance.acme.clone() {
         acme::start(acme, certificate.clone())?;
     }
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -5,6 +5,8 @@
 mod authority;
 mod corpus;
 mod scgi;
+mod scripted;
+mod signals;
 mod stand_in;
 mod told;
 mod upgrade;
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -65,6 +65,8 @@
     pub appliance: String,
     /// Descriptors that the program may hold.
     pub sockets: Option<usize>,
+    /// Time from the notice to leave to the kill.
+    pub stop_ms: Option<u64>,
 }
 
 /// A folder of a test's own, which goes when the test is done with it.
@@ -121,11 +123,12 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":{},"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent),
             address("vault", setup.vault),
             setup.sockets.unwrap_or(1024),
+            setup.stop_ms.unwrap_or(3200),
         );
         let scgi = format!(
             r#"{{"scgi":{{{}{}"listen":"127.0.0.1:0"}}{}}}"#,
@@ -205,11 +208,16 @@
 
     /// Puts another file in the place of the configuration and has it read.
     pub fn reload(&self, changes: &[(String, String)]) {
+        self.write_config(changes);
+        self.signal("HUP");
+    }
+
+    /// Puts another file in the place of the configuration.
+    pub fn write_config(&self, changes: &[(String, String)]) {
         let change = |config: String, (from, to): &(String, String)| config.replace(from, to);
         let config = changes.iter().fold(self.config.clone(), change);
         assert_ne!(config, self.config);
         std::fs::write(self.dir.path("config.json"), config).unwrap();
-        self.signal("HUP");
     }
 
     /// The exit status, once it has ended.
@@ -242,6 +250,7 @@
 }
 
 /// A request as a test makes it.
+#[derive(Clone)]
 pub struct Ask {
     pub class: &'static str,
     pub key: Option<String>,
