Keep commands, notices and reports going whatever the other end of a link does

- net/agent.rs `write_commands`, Order::Relink: the connection to a new address was made inside the loop that writes commands, for up to CONNECT_PATIENCE (1 s) in every 1.25 s.
After a SIGHUP to an address that does not answer all launches waited for it, longer than many a deadline.
Now a coroutine of its own seeks it beside the link.
Test `an_address_that_does_not_answer_holds_up_no_command_on_the_link_there_is` (a listener with a full queue, requests of 400 ms): before, the first such request was not served.
- net/agent.rs `read_notices`: a notice that cannot be read ended the link, the next link got the same notice again, and so for ever: no other run was ever told of.
Now it is passed over when the next link brings it again.
Test `a_notice_that_can_never_be_read_keeps_back_none_that_follow`: before, the run behind it failed when due.
- net/agent.rs `keep_linked`: what was said while there was no link piled up without a bound; the module has each answered run stopped again every 50 ms.
Now a run is stopped once, and questions about the old link are dropped.
Test `what_is_said_while_there_is_no_link_does_not_grow`: before, 44 orders for 4 runs in half a second.

By reading: `Lost` waited for room in the inbox and could come behind the next link's greeting, with the link taken to be down from then on; it goes in without waiting. An old agent that reads nothing held up a move for 2 s: 200 ms.

Ruled out by tests that pass before and after: half a notice, a launch lost with its link, notices for nobody and twice, a silent link, an old link that hangs at a move, replies cut short or malformed for a keyed request (one call), a pooled connection that closes under the next call, a service that does not answer against 300 ms, a late reply, reports after a failed send and through a drain.

--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -1,10 +1,10 @@
 //! The link to the render farm agent: JSON lines, numbered notices, and a new link whenever one breaks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -17,7 +17,7 @@
 use super::lines::{Buffer, Lines};
 use super::stream::Conn;
 use super::{spawn, Hub};
-use crate::core::{Command, End, Input, Notice};
+use crate::core::{Command, End, Handle, Input, Notice};
 use crate::{json, told};
 
 /// Wait before a new link, doubled up to the second after each failure.
@@ -45,6 +45,8 @@
     Command(Command),
     /// The configuration names an address, perhaps a new one.
     Relink,
+    /// For the link of this number another address was sought: it took a connection, or is not named any more.
+    Sought(u64, Option<(Conn, SocketAddr)>),
     /// The agent has answered [`MOVE_TICKET`] on the link of this number.
     Settled(u64),
     /// The link of this number broke.
@@ -61,7 +63,8 @@
     pub(super) fn start(hub: &Arc<Hub>) -> Self {
         let (orders, received) = channel();
         let (hub, again) = (hub.clone(), orders.clone());
-        let keeper = Keeper { hub, again, orders: received, cursor: Arc::default() };
+        let keeper =
+            Keeper { hub, again, orders: received, cursor: Arc::default(), unreadable: Arc::default() };
         spawn(move || keeper.keep_linked());
         Self { orders }
     }
@@ -84,6 +87,45 @@
     address: SocketAddr,
     /// It is ended on purpose, with nothing of what was said on it in doubt.
     settled: Arc<AtomicBool>,
+    /// It is not used any more.
+    over: Arc<AtomicBool>,
+    /// Another address is sought for it.
+    seeks: bool,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+    }
+}
+
+/// What is said while there is no link, for the next one. Its size is bounded by the number of runs, however long
+/// there is none.
+#[derive(Default)]
+struct Backlog {
+    lines: String,
+    /// Runs whose last word in here is to stop: saying so again adds nothing.
+    stopped: HashSet<Handle>,
+}
+
+impl Backlog {
+    fn add(&mut self, command: &Command) {
+        let news = match command {
+            Command::Freeze { handle } => self.stopped.insert(*handle),
+            Command::Launch { handle, .. }
+            | Command::Thaw { handle }
+            | Command::Deliver { handle, .. }
+            | Command::Forgo { handle, .. } => {
+                self.stopped.remove(handle);
+                true
+            }
+            // Questions about the link that broke: the next one's are asked once it greets.
+            Command::Sample { .. } | Command::Sync => false,
+        };
+        if news {
+            encode(command, &mut self.lines);
+        }
+    }
 }
 
 struct Keeper {
@@ -92,18 +134,26 @@
     orders: Receiver<Order>,
     /// The number of the last notice read, over all links.
     cursor: Arc<AtomicU64>,
+    /// Behind which notice there was one that could not be read, when the link was given up for that.
+    unreadable: Arc<Mutex<Option<u64>>>,
 }
 
 impl Keeper {
     fn keep_linked(&self) {
         let mut wait = RELINK.0;
         let mut number = 0;
+        let mut backlog = Backlog::default();
         loop {
+            while let Ok(order) = self.orders.try_recv() {
+                if let Order::Command(command) = order {
+                    backlog.add(&command);
+                }
+            }
             let Some(address) = self.hub.links().agent else { return };
             match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
                 Ok(conn) => {
                     wait = RELINK.0;
-                    let mut next = Some((conn, address, String::new()));
+                    let mut next = Some((conn, address, std::mem::take(&mut backlog).lines));
                     while let Some((conn, address, backlog)) = next {
                         number += 1;
                         let link = self.open(conn, number, address);
@@ -121,12 +171,14 @@
 
     fn open(&self, conn: Conn, number: u64, address: SocketAddr) -> Open {
         info!("linked to the agent at {address}");
-        let settled = Arc::new(AtomicBool::new(false));
-        let link = Open { conn, number, address, settled };
+        let (settled, over) = (Arc::<AtomicBool>::default(), Arc::default());
+        let link = Open { conn, number, address, settled, over, seeks: false };
         let (reads, settled) = (Buffer::new(link.conn.clone()), link.settled.clone());
         let (hub, cursor, again) = (self.hub.clone(), self.cursor.clone(), self.again.clone());
+        let unreadable = self.unreadable.clone();
         spawn(move || {
-            let end = read_notices(reads, &cursor, &hub, || drop(again.send(Order::Settled(number))));
+            let settles = || drop(again.send(Order::Settled(number)));
+            let end = read_notices(reads, &cursor, &unreadable, &hub, settles);
             let settled = settled.load(Ordering::Acquire);
             if !settled {
                 warn!("the link to the agent ended: {}", end.word());
@@ -135,7 +187,8 @@
             // `Broken` in the queue and goes out on the next link, not into this one.
             let _ = again.send(Order::Broken(number));
             if !settled {
-                hub.push(Input::Agent(Notice::Lost(end)));
+                // Without waiting for room: the greeting of the next link must not come before.
+                hub.push_at_once(Input::Agent(Notice::Lost(end)));
             }
         });
         link
@@ -162,22 +215,16 @@
                         link.conn.shutdown(Shutdown::Both);
                         return None;
                     }
-                    Order::Relink => {
-                        if let Some(address) = self.hub.links().agent.filter(|a| *a != link.address) {
-                            match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
-                                Ok(conn) => return Some((conn, address, self.settle(link, out))),
-                                Err(e) => {
-                                    debug!("no link to the agent at {address} yet: {e}");
-                                    let again = self.again.clone();
-                                    spawn(move || {
-                                        crate::net::spawn::sleep(RELINK.1);
-                                        let _ = again.send(Order::Relink);
-                                    });
-                                }
-                            }
+                    Order::Relink => self.seek(&mut link),
+                    Order::Sought(which, found) if which == link.number => {
+                        link.seeks = false;
+                        let named = self.hub.links().agent;
+                        if let Some((conn, address)) = found.filter(|(_, address)| named == Some(*address)) {
+                            return Some((conn, address, self.settle(link, out)));
                         }
+                        self.seek(&mut link);
                     }
-                    Order::Broken(_) | Order::Settled(_) => {}
+                    Order::Broken(_) | Order::Settled(_) | Order::Sought(..) => {}
                 }
                 match self.orders.try_recv() {
                     Ok(next) => order = next,
@@ -187,10 +234,32 @@
         }
     }
 
+    /// Connects to the address that the configuration names now if that is another one, beside the link: commands
+    /// are not to wait for an address that does not answer.
+    fn seek(&self, link: &mut Open) {
+        let (hub, at, number) = (self.hub.clone(), link.address, link.number);
+        let other = move || hub.links().agent.filter(|address| *address != at);
+        if other().is_none() || std::mem::replace(&mut link.seeks, true) {
+            return;
+        }
+        let (again, over) = (self.again.clone(), link.over.clone());
+        spawn(move || {
+            while !over.load(Ordering::Acquire) {
+                let Some(address) = other() else { return drop(again.send(Order::Sought(number, None))) };
+                match Conn::connect(address, CONNECT_PATIENCE, WRITE_PATIENCE) {
+                    Ok(conn) => return drop(again.send(Order::Sought(number, Some((conn, address))))),
+                    Err(e) => debug!("no link to the agent at {address} yet: {e}"),
+                }
+                crate::net::spawn::sleep(RELINK.1);
+            }
+        });
+    }
+
     /// Ends a link in good order: the agent shows that it has read all that was said on it, so that no launch
     /// is in doubt, and all its notices are read. Returns what came to be said meanwhile.
     fn settle(&self, mut link: Open, mut out: String) -> String {
         encode_sample(MOVE_TICKET, &mut out);
+        link.conn.set_write_patience(MOVE_PATIENCE);
         let _ = link.conn.write_all(out.as_bytes());
         let (since, mut backlog) = (Instant::now(), String::new());
         let mut ended = false;
@@ -216,7 +285,16 @@
     }
 }
 
-fn read_notices(mut link: Buffer, cursor: &AtomicU64, hub: &Hub, settled: impl Fn()) -> End {
+/// Reads until the link ends. A notice that cannot be read ends it, as a new link may bring it whole; where that one
+/// brings the same again, it is the agent's own, and is passed over: it must not keep back all that follows.
+fn read_notices(
+    mut link: Buffer,
+    cursor: &AtomicU64,
+    unreadable: &Mutex<Option<u64>>,
+    hub: &Hub,
+    settled: impl Fn(),
+) -> End {
+    let unreadable = || unreadable.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         match next_notice(&mut link.lines, cursor) {
             Ok(Some(Notice::Sampled { ticket: MOVE, .. })) => settled(),
@@ -227,8 +305,14 @@
                 }
             }
             Err(why) => {
-                warn!("a notice of the agent cannot be read: {}", told::in_a_line(&why));
-                return End::Malformed;
+                let behind = Some(cursor.load(Ordering::Acquire));
+                let again = unreadable().take() == behind && !matches!(why, NoticeError::Line);
+                let what = if again { "passed over" } else { "the link is made anew" };
+                warn!("a notice of the agent cannot be read: {}: {what}", told::in_a_line(&why));
+                if !again {
+                    *unreadable() = behind;
+                    return End::Malformed;
+                }
             }
         }
     }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// How long writing waits for a peer that takes nothing.
+    pub(super) fn set_write_patience(&mut self, patience: Duration) {
+        self.write_patience = patience;
+    }
+
     pub(super) fn shutdown(&self, how: Shutdown) {
         let _ = self.stream.shutdown(how);
     }
--- /dev/null
+++ b/tests/program/links.rs
@@ -0,0 +1,360 @@
+//! The links to agent, service below and control plane, broken, moved or silent at the wrong moment.
+
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hopwalk::net::control::{encode, Reporter};
+use rstest::rstest;
+
+use crate::scripted::{outcome, Listener, Silent};
+use crate::stand_in::*;
+
+const QUICK: Duration = Duration::from_millis(5);
+
+fn start(agent: &Listener, vault: Option<SocketAddr>) -> Program {
+    Program::start(Setup { agent: Some(agent.address), vault, ..Setup::default() })
+}
+
+fn moved(from: SocketAddr, to: SocketAddr) -> (String, String) {
+    (from.to_string(), to.to_string())
+}
+
+// ---- The agent --------------------------------------------------------------------------------------
+
+#[test]
+fn half_a_notice_at_the_end_of_a_link_is_told_again_and_taken_once() {
+    // Guards against an outcome lost, or taken twice, with a link that breaks in the middle of its line.
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.link();
+    link.sync();
+    let mut streams = [connect(program.http), connect(program.http)];
+    let mut handles = Vec::new();
+    for stream in &mut streams {
+        stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+        handles.push(link.expect("launch").handle);
+    }
+    let last = outcome(2, &handles[1], "complete", b"two");
+    link.write([&outcome(1, &handles[0], "complete", b"one")[..], &last[..last.len() - 1]].concat());
+    assert_eq!(read_answer(&mut streams[0]).body, b"one");
+    link.cut();
+    let mut link = agent.accept();
+    assert_eq!(link.expect("subscribe").cursor, 1);
+    link.greet();
+    link.write(last.repeat(2));
+    assert_eq!(read_answer(&mut streams[1]).body, b"two");
+    assert_eq!((program.counter("served"), program.counter("links_lost")), (2, 1));
+}
+
+#[test]
+fn a_launch_that_got_lost_with_its_link_is_made_on_the_next_one() {
+    // The link breaks before the agent read the command, or half of it.
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.link();
+    link.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
+    wait_for("the launch", || program.counter("launched") == 1);
+    link.cut();
+    let mut link = agent.link();
+    link.sync();
+    let handle = link.expect("freeze").handle;
+    link.sync();
+    assert_eq!(link.expect("launch").handle, handle);
+    link.ends(1, &handle, "complete", b"once");
+    assert_eq!(read_answer(&mut stream).body, b"once");
+}
+
+#[test]
+fn a_notice_that_can_never_be_read_keeps_back_none_that_follow() {
+    // Guards against a link that is made anew for ever because of one notice that the agent keeps and repeats.
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.link();
+    link.sync();
+    let mut streams = [connect(program.http), connect(program.http)];
+    let mut handles = Vec::new();
+    for stream in &mut streams {
+        stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+        handles.push(link.expect("launch").handle);
+    }
+    let spoilt = outcome(1, &handles[0], "no such fate", b"one");
+    let kept = spoilt + &outcome(2, &handles[1], "complete", b"two");
+    link.write(&kept);
+    // A new link could have brought it whole.
+    let mut link = agent.link();
+    link.write(&kept);
+    assert_eq!(read_answer(&mut streams[1]).body, b"two");
+    assert_eq!(read_answer(&mut streams[0]).status, 500);
+    assert!(agent.is_quiet());
+    assert_eq!(program.counter("links_lost"), 1);
+}
+
+#[test]
+fn notices_of_runs_that_are_not_there_harm_nothing() {
+    // An outcome twice, of a request that was answered, of one that nobody sent, and a call of such a one.
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.link();
+    link.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask { patience_ms: 200, ..Ask::keyed("k", b"a") }.http()).unwrap();
+    let handle = link.expect("launch").handle;
+    assert_eq!(read_answer(&mut stream).status, 500);
+    link.ends(1, &handle, "complete", b"late");
+    link.ends(2, &handle, "complete", b"twice");
+    link.ends(3, "00000000000000ff", "complete", b"nobody's");
+    link.calls(4, "00000000000000fe", b"nobody's");
+    link.write("{\"event\":\"refusal\",\"fate\":\"launch\",\"handle\":\"00000000000000ff\"}\n");
+    stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
+    assert_eq!(read_answer(&mut stream).body, b"late", "the key's run ended well, and is not made again");
+    assert_eq!((program.counter("launched"), program.counter("links_lost")), (1, 0));
+}
+
+#[test]
+fn on_a_link_that_stays_silent_callers_are_answered_when_due() {
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.accept();
+    link.expect("subscribe");
+    let exchange_in = |patience_ms| {
+        let since = Instant::now();
+        let ask = Ask { patience_ms, ..Ask::new("queue-status", b"a") };
+        let status = exchange(program.http, &ask.http()).status;
+        assert_ne!(status, 200);
+        assert!(since.elapsed() < Duration::from_millis(patience_ms + 150), "{:?}", since.elapsed());
+    };
+    exchange_in(300);
+    link.greet();
+    exchange_in(300);
+    link.cut();
+    let mut again = agent.accept();
+    again.expect("subscribe");
+    exchange_in(300);
+    assert_eq!(exchange(program.http, b"GET /check HTTP/1.1\r\nConnection: close\r\n\r\n").status, 200);
+}
+
+#[test]
+fn an_address_that_does_not_answer_holds_up_no_command_on_the_link_there_is() {
+    // Guards against launches that wait for a connection elsewhere: it takes longer than many a deadline.
+    let agent = Agent::start(1, QUICK, false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let silent = Silent::start();
+    program.reload(&[moved(agent.address, silent.address)]);
+    program.wait_for_log("the configuration was read again");
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(1500) {
+        let ask = Ask { patience_ms: 400, ..Ask::new("queue-status", b"a") };
+        assert_eq!(exchange(program.http, &ask.http()).body, b"made:a");
+    }
+    // A move that is overtaken by another one.
+    let to = agent.moved();
+    program.reload(&[moved(agent.address, to.address)]);
+    program.wait_for_log(&format!("linked to the agent at {}", to.address));
+    assert_eq!(exchange(program.http, &Ask::new("queue-status", b"b").http()).body, b"made:b");
+    assert_eq!(program.counter("links_lost"), 0);
+}
+
+#[test]
+fn an_old_link_that_hangs_holds_up_a_move_for_a_moment_only() {
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut hangs = agent.link();
+    hangs.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+    let handle = hangs.expect("launch").handle;
+    let to = Listener::start();
+    program.reload(&[moved(agent.address, to.address)]);
+    let mut link = to.link();
+    link.sync();
+    assert_eq!(link.expect("launch").handle, handle, "what was in doubt is said again");
+    link.ends(1, &handle, "complete", b"moved");
+    assert_eq!(read_answer(&mut stream).body, b"moved");
+}
+
+#[test]
+fn what_is_said_while_there_is_no_link_does_not_grow() {
+    // Guards against an order to stop each answered run, twenty times a second, that all wait for the next link.
+    let agent = Listener::start();
+    let program = start(&agent, None);
+    let mut link = agent.link();
+    link.sync();
+    let mut streams: Vec<_> = (0..4).map(|_| connect(program.http)).collect();
+    for stream in &mut streams {
+        stream.write_all(&Ask { patience_ms: 1500, ..Ask::new("queue-status", b"a") }.http()).unwrap();
+    }
+    let handles: Vec<_> = streams.iter().map(|_| link.expect("launch").handle).collect();
+    for stream in &mut streams {
+        assert_eq!(read_answer(stream).status, 500);
+    }
+    let address = agent.address;
+    drop(agent);
+    link.cut();
+    wait_for("the loss", || program.counter("links_lost") == 1);
+    let commands = program.counter("commands");
+    wait_for("orders to stop", || program.counter("commands") >= commands + 40);
+    let agent = Listener::start_at(address);
+    let mut link = agent.link();
+    let mut freezes = Vec::new();
+    loop {
+        let command = link.command();
+        match command.event.as_str() {
+            "freeze" => freezes.push(command.handle),
+            _ => break assert_eq!(command.ticket, "sync"),
+        }
+    }
+    assert!(freezes.len() <= 2 * handles.len(), "{} orders for {} runs", freezes.len(), handles.len());
+}
+
+// ---- Calls below ------------------------------------------------------------------------------------
+
+#[rstest]
+#[case::cut_short(b" yes 10\r\nhalf", "call_broken")]
+#[case::in_its_line(b" ye", "call_broken")]
+#[case::nothing(b"", "call_broken")]
+#[case::too_long(b" yes 99999\r\n", "call_malformed")]
+#[case::no_word(b" maybe\r\n", "call_malformed")]
+fn a_call_of_a_keyed_request_whose_reply_breaks_is_made_once(#[case] reply: &[u8], #[case] counted: &str) {
+    // Guards against a second call without proof that the first never ran.
+    let (agent, vault) = (Agent::start(2, QUICK, true), Listener::start());
+    let setup = Setup { agent: Some(agent.address), vault: Some(vault.address), ..Setup::default() };
+    let program = Program::start(setup);
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask { patience_ms: 1000, ..Ask::keyed("k", b"x") }.http()).unwrap();
+    let mut call = vault.accept();
+    let (handle, ..) = call.ask();
+    if !reply.is_empty() {
+        call.write([handle.as_bytes(), reply].concat());
+    }
+    call.cut();
+    assert_eq!(read_answer(&mut stream).status, 500);
+    assert!(vault.is_quiet());
+    assert_eq!((program.counter("calls_made"), program.counter(counted)), (1, 1));
+}
+
+#[test]
+fn a_connection_that_closes_as_the_next_call_takes_it_over_costs_a_read_another_call() {
+    // And a keyed request never takes over a connection: what breaks on one proves nothing.
+    let (agent, vault) = (Agent::start(2, QUICK, true), Listener::start());
+    let setup = Setup { agent: Some(agent.address), vault: Some(vault.address), ..Setup::default() };
+    let program = Program::start(setup);
+    let program = &program;
+    thread::scope(|scope| {
+        let asks = |ask: Ask| scope.spawn(move || exchange(program.http, &ask.http()));
+        let first = asks(Ask::new("queue-status", b"1"));
+        let mut call = vault.accept();
+        let (handle, _, body) = call.ask();
+        call.reply(&handle, &body);
+        assert_eq!(first.join().unwrap().body, b"made:11");
+        let second = asks(Ask::new("queue-status", b"2"));
+        assert_eq!(call.ask().2, b"2", "on the connection of the first");
+        call.cut();
+        let mut call = vault.accept();
+        let (handle, _, body) = call.ask();
+        call.reply(&handle, &body);
+        assert_eq!(second.join().unwrap().body, b"made:22");
+        let keyed = asks(Ask::keyed("k", b"3"));
+        let mut other = vault.accept();
+        let (handle, _, body) = other.ask();
+        assert_eq!(body, b"3");
+        other.reply(&handle, &body);
+        assert_eq!(keyed.join().unwrap().body, b"made:33");
+    });
+}
+
+#[test]
+fn a_service_below_that_does_not_answer_holds_up_no_answer() {
+    // The time to connect against a deadline that is shorter.
+    let agent = Agent::start(2, QUICK, true);
+    let silent = Silent::start();
+    let setup = Setup { agent: Some(agent.address), vault: Some(silent.address), ..Setup::default() };
+    let program = Program::start(setup);
+    for ask in [Ask::keyed("k", b"x"), Ask::new("queue-status", b"y")] {
+        let since = Instant::now();
+        let answer = exchange(program.http, &Ask { patience_ms: 300, ..ask }.http());
+        assert!([200, 500].contains(&answer.status), "{answer:?}");
+        assert!(since.elapsed() < Duration::from_millis(450), "{:?}", since.elapsed());
+    }
+}
+
+#[test]
+fn a_reply_that_comes_after_its_call_was_given_up_is_nobodys() {
+    // Guards against a late reply that ends another call of the same request, or a call of another one.
+    let (agent, vault) = (Agent::start(2, QUICK, true), Listener::start());
+    let setup = Setup { agent: Some(agent.address), vault: Some(vault.address), ..Setup::default() };
+    let program = Program::start(setup);
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask { patience_ms: 300, ..Ask::keyed("k", b"x") }.http()).unwrap();
+    let mut call = vault.accept();
+    let (handle, ..) = call.ask();
+    assert_eq!(read_answer(&mut stream).status, 500);
+    assert!(call.line().is_none(), "the call is given up with its connection");
+    stream.write_all(&Ask::new("queue-status", b"y").http()).unwrap();
+    let mut other = vault.accept();
+    let (next, _, body) = other.ask();
+    other.reply(&handle, b"late");
+    other.reply(&next, &body);
+    assert_eq!(read_answer(&mut stream).body, b"made:yy");
+}
+
+// ---- The control plane ------------------------------------------------------------------------------
+
+#[test]
+fn reports_go_on_after_a_socket_could_not_be_had() {
+    // Guards against a process that leaves the list for good because one bind failed.
+    let control = UdpSocket::bind("127.0.0.1:0").unwrap();
+    control.set_read_timeout(Some(PATIENCE)).unwrap();
+    let to = control.local_addr().unwrap();
+    let mut failures = 2;
+    let mut reporter = Reporter::new(|| {
+        if failures > 0 {
+            failures -= 1;
+            return Err(std::io::Error::from_raw_os_error(24));
+        }
+        may::net::UdpSocket::bind("127.0.0.1:0")
+    });
+    for _ in 0..3 {
+        reporter.report(&encode("n7", true), to);
+    }
+    let mut bytes = [0; 64];
+    let len = control.recv(&mut bytes).unwrap();
+    assert_eq!(&bytes[..len], b"lease n7 Ready");
+}
+
+#[test]
+fn reports_go_on_where_sending_failed_and_through_a_drain() {
+    let agent = Agent::start(1, QUICK, false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let was = program.control.local_addr().unwrap();
+    // Nothing can be sent to port 0; then an address where nobody listens; then one that does.
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
+    for to in [nowhere, gone()] {
+        let before = program.log().matches("read again").count();
+        program.reload(&[moved(was, to)]);
+        wait_for("the reload", || program.log().matches("read again").count() > before);
+        assert_eq!(exchange(program.http, &Ask::new("queue-status", b"a").http()).body, b"made:a");
+    }
+    let control = UdpSocket::bind("127.0.0.1:0").unwrap();
+    control.set_read_timeout(Some(PATIENCE)).unwrap();
+    program.reload(&[moved(was, control.local_addr().unwrap())]);
+    let mut bytes = [0; 64];
+    assert!(control.recv(&mut bytes).is_ok());
+    program.signal("TERM");
+    program.wait_for_log("leaving");
+    let since = Instant::now();
+    wait_for("a report that this process leaves", || {
+        let len = control.recv(&mut bytes).unwrap();
+        &bytes[..len] == b"lease n7 NotReady"
+    });
+    let mut last = since;
+    while since.elapsed() < Duration::from_secs(1) {
+        assert!(control.recv(&mut bytes).is_ok());
+        assert!(last.elapsed() < Duration::from_secs(1), "an entry must not lapse");
+        last = Instant::now();
+    }
+    assert!(program.end().success());
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -4,6 +4,7 @@
 mod appliance;
 mod authority;
 mod corpus;
+mod links;
 mod scgi;
 mod scripted;
 mod signals;
