Repeat no launch that may run once, and no reply, without proof that it was lost

src/core/runs.rs `say_again`: after a broken link, what was said last about a run is said again. Two cases were repeated outright that may do harm, because the run may move on between the answer to Sync and the repeat: - a launch of a class `at_most_once`: the guard asked for a key, and such tries have none. A run that ends in between is run a second time. - a reply to a call (`deliver` names no call): a run that heard it and reaches its next call in between takes the old reply for the answer to that one. Both now go through the same test as keyed launches: stop, wait for all notices, and repeat only what nothing shows to have been heard. Where runs cannot be paused they are not repeated, and the caller gets a failure when due.

tests/program/links.rs, an agent that ends or moves on the run in just that moment: `a_launch_in_doubt_of_what_may_run_once_is_not_repeated_without_proof`, `a_reply_in_doubt_is_not_repeated_into_the_next_call_of_its_run`, `a_reply_in_doubt_reaches_its_run` (two cases).

--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -6,7 +6,7 @@
 use super::types::*;
 use super::{Core, End, Phase, Timer};
 use crate::brain::Brain;
-use crate::interface::{Event, Gauges, Outcome, Preemption, RequestId};
+use crate::interface::{Event, Gauges, Outcome, Preemption, Repeat, RequestId};
 
 /// This long after its due time a run of an answered request is taken to be lost.
 const RUN_LOST: Duration = Duration::from_secs(60);
@@ -135,23 +135,27 @@
     }
 
     /// After a link broke, nobody knows which of the last commands arrived. Repeating them does no harm to
-    /// what may run again. A launch that carries a key must not be repeated without proof that no run of it has
-    /// ended: that could have happened just now, unseen. No notice up to here shows an end; so the run is told to
-    /// pause, and once everything up to the second [`Notice::Synced`] was told, either it ended, or it goes on,
-    /// or it never began, and a launch starts it or does nothing. Where runs cannot be paused there is no proof,
-    /// and the caller gets a failure.
+    /// what may run again. Others are repeated only with proof that they were not heard: a launch of what must not
+    /// run twice, whose run may have ended just now, unseen; and a reply, which names no call: the run may have gone
+    /// on to its next one just now, and would take it for that one's. No notice up to here shows either; so the run
+    /// is told to pause, and once everything up to the second [`Notice::Synced`] was told, either it ended or called,
+    /// or it goes on, or it heard nothing, and the command is repeated or does nothing. Where runs cannot be paused
+    /// there is no proof, and the caller gets a failure.
     fn say_again(&mut self, now: Duration) {
         let (mut again, mut over) = (Vec::new(), Vec::new());
         let pauses = self.site.settings.preemption == Preemption::Pause;
         for (id, live) in self.live.iter_mut().filter(|(_, l)| l.doubtful) {
-            let launch = matches!(live.unheard, Some(Command::Launch { .. }));
-            if launch && live.key.is_some() && live.conn.is_none() {
+            let runs_once = self.site.settings.classes[live.class].repeat != Repeat::Idempotent;
+            let launch_once = runs_once && matches!(live.unheard, Some(Command::Launch { .. }));
+            let reply = matches!(live.unheard, Some(Command::Deliver { .. }));
+            if launch_once && live.conn.is_none() {
                 over.push(*id);
-            } else if launch && live.key.is_some() && !live.tested {
-                live.tested = pauses && self.lost_at.saturating_sub(live.began) <= LOST_WITHIN;
+            } else if (launch_once || reply) && !live.tested {
+                let may_be_lost = reply || self.lost_at.saturating_sub(live.began) <= LOST_WITHIN;
+                live.tested = pauses && may_be_lost;
                 again.extend(live.tested.then_some((*id, Command::Freeze { handle: live.handle })));
             } else {
-                self.counters.launches_repeated += u64::from(live.tested);
+                self.counters.launches_repeated += u64::from(live.tested && launch_once);
                 (live.doubtful, live.tested) = (false, false);
                 again.extend(live.unheard.clone().map(|command| (*id, command)));
             }
--- a/tests/program/links.rs
+++ b/tests/program/links.rs
@@ -68,6 +68,83 @@
     assert_eq!(read_answer(&mut stream).body, b"once");
 }
 
+#[test]
+fn a_launch_in_doubt_of_what_may_run_once_is_not_repeated_without_proof() {
+    // Guards against a second run where tries carry no key: the first one's end may be on its way.
+    let agent = Listener::start();
+    let site = vec![(r#""deduplicated""#, r#""at_most_once""#)];
+    let program = Program::start(Setup { agent: Some(agent.address), site, ..Setup::default() });
+    let mut link = agent.link();
+    link.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::new("lobby-confirm", b"a").http()).unwrap();
+    let handle = link.expect("launch").handle;
+    link.cut();
+    let mut link = agent.link();
+    link.sync();
+    // The run ends here, before the agent reads what is said next.
+    assert_eq!(link.expect("freeze").handle, handle);
+    link.ends(1, &handle, "complete", b"once");
+    assert_eq!(read_answer(&mut stream).body, b"once");
+    link.sync();
+    stream.write_all(&Ask::new("queue-status", b"b").http()).unwrap();
+    assert_ne!(link.expect("launch").handle, handle, "the next command is about the next request");
+    assert_eq!(program.counter("launched"), 2);
+}
+
+#[test]
+fn a_reply_in_doubt_is_not_repeated_into_the_next_call_of_its_run() {
+    // Guards against a reply that is taken for the one to another call: the command names none.
+    let (agent, vault) = (Listener::start(), vault());
+    let program = start(&agent, Some(vault));
+    let mut link = agent.link();
+    link.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
+    let handle = link.expect("launch").handle;
+    link.calls(1, &handle, b"one");
+    assert_eq!(link.expect("deliver").arg, b"reply:one");
+    link.cut();
+    let mut link = agent.link();
+    link.sync();
+    // The run goes on to its next call here, before the agent reads what is said next.
+    link.expect("freeze");
+    link.calls(2, &handle, b"two");
+    link.sync();
+    assert_eq!(link.expect("deliver").arg, b"reply:two");
+    link.ends(3, &handle, "complete", b"both");
+    assert_eq!(read_answer(&mut stream).body, b"both");
+}
+
+#[rstest]
+#[case::it_was_lost(false)]
+#[case::it_was_heard(true)]
+fn a_reply_in_doubt_reaches_its_run(#[case] heard: bool) {
+    let (agent, vault) = (Listener::start(), vault());
+    let program = start(&agent, Some(vault));
+    let mut link = agent.link();
+    link.sync();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
+    let handle = link.expect("launch").handle;
+    link.calls(1, &handle, b"one");
+    link.expect("deliver");
+    link.cut();
+    let mut link = agent.link();
+    link.sync();
+    link.expect("freeze");
+    if heard {
+        link.ends(2, &handle, "cancelled", b"");
+        link.sync();
+        link.expect("thaw");
+    } else {
+        link.sync();
+        assert_eq!(link.expect("deliver").arg, b"reply:one");
+    }
+    link.ends(3, &handle, "complete", b"all");
+    assert_eq!(read_answer(&mut stream).body, b"all");
+}
+
 #[test]
 fn a_notice_that_can_never_be_read_keeps_back_none_that_follow() {
     // Guards against a link that is made anew for ever because of one notice that the agent keeps and repeats.
--- a/tests/program/scripted.rs
+++ b/tests/program/scripted.rs
@@ -70,6 +70,7 @@
     pub handle: String,
     pub ticket: String,
     pub cursor: u64,
+    pub arg: Vec<u8>,
 }
 
 impl Peer {
@@ -105,7 +106,8 @@
             let cursor = json.get("cursor").and_then(|v| v.get::<f64>()).copied().unwrap_or_default();
             let (event, handle, ticket) = (text("event"), text("handle"), text("ticket"));
             if event != "sample" || ticket.parse::<u64>().is_err() {
-                return Command { event, handle, ticket, cursor: cursor as u64 };
+                let arg = BASE64.decode(text("arg")).unwrap();
+                return Command { event, handle, ticket, cursor: cursor as u64, arg };
             }
         }
     }
