--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -65,6 +65,8 @@
     pub appliance: String,
     /// Descriptors that the program may hold.
     pub sockets: Option<usize>,
+    /// Time from the notice to leave to the kill.
+    pub stop_ms: Option<u64>,
 }
 
 /// A folder of a test's own, which goes when the test is done with it.
@@ -121,11 +123,12 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":{},"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent),
             address("vault", setup.vault),
             setup.sockets.unwrap_or(1024),
+            setup.stop_ms.unwrap_or(3200),
         );
         let scgi = format!(
             r#"{{"scgi":{{{}{}"listen":"127.0.0.1:0"}}{}}}"#,
@@ -198,6 +201,18 @@
         exchange(self.admin, format!("{method} {path} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes()).status
     }
 
+    /// Descriptors that the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Sets how many descriptors the system lets the program hold.
+    pub fn limit_descriptors(&self, most: usize) {
+        let pid = self.child.id().to_string();
+        let set = Command::new("prlimit").args(["--pid", &pid, &format!("--nofile={most}:4096")]).status();
+        assert!(set.unwrap().success());
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.unwrap().success());
@@ -222,11 +237,16 @@
 
     /// Puts another file in the place of the configuration and has it read.
     pub fn reload(&self, changes: &[(String, String)]) {
+        self.write_config(changes);
+        self.signal("HUP");
+    }
+
+    /// Puts another file in the place of the configuration.
+    pub fn write_config(&self, changes: &[(String, String)]) {
         let change = |config: String, (from, to): &(String, String)| config.replace(from, to);
         let config = changes.iter().fold(self.config.clone(), change);
         assert_ne!(config, self.config);
         std::fs::write(self.dir.path("config.json"), config).unwrap();
-        self.signal("HUP");
     }
 
     /// The exit status, once it has ended.
@@ -259,6 +279,7 @@
 }
 
 /// A request as a test makes it.
+#[derive(Clone)]
 pub struct Ask {
     pub class: &'static str,
     pub key: Option<String>,
