Send new connections to the successor as a listener closes in an upgrade

Seen: in 3 of 12 plays of tests/handover_fleet.rs one request was lost ("closed without an answer", 1,000 ms after it was sent). Now the system is told to choose the successor's listener for new connections (SO_ATTACH_REUSEPORT_CBPF), and the old listener takes in its backlog meanwhile. Without a successor SYNs are dropped for 5 ms in place of 20: some round trips of a site.

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -20,7 +20,7 @@
 use super::connection_table::AfterAnswer;
 use super::hub::Hub;
 use super::stream::Conn;
-use super::{front, handshake_filter, spawn};
+use super::{front, newcomers, spawn};
 use crate::core::{Answer, ConnId};
 
 /// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
@@ -30,8 +30,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks whether a connection that was accepted has found room.
 const ROOM_LOOK: Duration = Duration::from_millis(2);
-/// Handshakes that were under way when new ones were shut out end within this time: some round trips of a site.
-const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
+/// Handshakes that were under way when new ones were shut out end within this time: some round trips of a
+/// site.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(5);
 /// Time between two looks at the backlog meanwhile, and between two attempts to wake the accepting coroutine.
 const STOP_LOOK: Duration = Duration::from_millis(1);
 
@@ -98,6 +99,8 @@
 #[derive(Debug, Default)]
 struct StopState {
     is_asked: AtomicBool,
+    /// Another process listens at the same address, and goes on to.
+    has_successor: AtomicBool,
     has_begun: AtomicBool,
     is_closed: AtomicBool,
 }
@@ -110,8 +113,10 @@
 }
 
 impl Front {
-    /// Begins to stop: connections that the system has accepted are taken in, and later ones are refused.
-    pub(super) fn stop(&self) {
+    /// Begins to stop: connections that the system has accepted are taken in, and later ones are refused, or go to the
+    /// process that took over.
+    pub(super) fn stop(&self, has_successor: bool) {
+        self.state.has_successor.store(has_successor, Ordering::Release);
         if self.state.is_asked.swap(true, Ordering::AcqRel) {
             return;
         }
@@ -139,16 +144,19 @@
     }
     state.has_begun.store(true, Ordering::Release);
     // Where this is not to be had, a handshake that ends between the last look and the close is reset.
-    let filtered = handshake_filter::attach(listener.inner());
-    if let Err(e) = &filtered {
-        debug!("new handshakes cannot be shut out before the close: {e}");
+    let kept_away = match state.has_successor.load(Ordering::Acquire) {
+        true => newcomers::send_to_successor(listener.inner()),
+        false => newcomers::shut_out(listener.inner()),
+    };
+    if let Err(e) = &kept_away {
+        debug!("new connections cannot be kept away before the close: {e}");
     }
     let until = Instant::now() + HANDSHAKE_TIME;
     loop {
         while has_backlog(&listener) {
             take_in(next(&listener), hub, &serve);
         }
-        if filtered.is_err() || Instant::now() >= until {
+        if kept_away.is_err() || Instant::now() >= until {
             break;
         }
         crate::net::spawn::sleep(STOP_LOOK);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,13 +12,13 @@
 pub mod fields;
 pub mod front;
 pub mod handover;
-mod handshake_filter;
 pub mod http;
 mod hub;
 pub mod inlet;
 pub mod lines;
 mod listen;
 mod metrics;
+mod newcomers;
 pub mod routed;
 pub mod scgi;
 mod spawn;
@@ -346,8 +346,8 @@
     }
 
     /// Stops taking connections on all fronts.
-    fn stop_fronts(&mut self) {
-        self.fronts.iter().for_each(Front::stop);
+    fn stop_fronts(&mut self, has_successor: bool) {
+        self.fronts.iter().for_each(|front| front.stop(has_successor));
         self.stopped_fronts.append(&mut self.fronts);
     }
 
@@ -407,7 +407,7 @@
             Effect::StopListening => {
                 info!("takes no new connections");
                 self.hub.close();
-                self.stop_fronts();
+                self.stop_fronts(false);
             }
             Effect::Ready => self.able(),
             Effect::HandOver { keys, standby } => {
@@ -436,7 +436,7 @@
             }
             Effect::Yield => {
                 self.hub.yields.store(true, Ordering::Relaxed);
-                self.stop_fronts();
+                self.stop_fronts(true);
                 let counters = format!("{}", self.core.counters());
                 let stopped = self.stopped_fronts.clone();
                 // Said only then: whoever reads it finds the other process at the address, and nobody else.
