Let no caller that keeps its side open hold up the end past the stop

Cause: what is left is answered 200 ms before the stop (STOP_MARGIN), and closing.rs waited 200 ms for each caller to close. Once the listener is closed it waits 50 ms, the time within which the protocol has bytes cross a close. Test: closing::callers_that_keep_their_side_open_do_not_hold_up_the_end_past_the_stop; not run without the change.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -18,7 +18,7 @@
 use miette::Diagnostic;
 use tracing::info;
 
-use super::closing::{close, Ending};
+use super::closing::{close, Ending, PATIENCE};
 use super::fields::Bad;
 use super::front::read_some;
 use super::http::{body_len, read_head, response};
@@ -295,7 +295,7 @@
     };
     let body = told.as_deref().unwrap_or(if status == 200 { "yes\n" } else { "no\n" });
     if conn.write_all(&response(status, "", body.as_bytes(), true)).is_ok() {
-        close(&mut conn, Ending::Finished);
+        close(&mut conn, Ending::Finished, PATIENCE);
     }
 }
 
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -14,7 +14,9 @@
 /// Bytes that are read and thrown away at most, so that a client that writes without end costs no more than this.
 const MOST_DISCARDED: usize = 1 << 20;
 /// How long the other side may take to close as well.
-const PATIENCE: Duration = Duration::from_millis(200);
+pub(super) const PATIENCE: Duration = Duration::from_millis(200);
+/// The same once the process is about to end: bytes that cross a close come within this time.
+pub(super) const LAST_PATIENCE: Duration = Duration::from_millis(50);
 
 /// How a connection came to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,21 +27,21 @@
     PeerGone,
 }
 
-/// Closes a connection; the descriptor goes with the last owner of `stream`.
-pub(super) fn close(stream: &mut impl Stream, ending: Ending) {
+/// Closes a connection, towards a side that may take up to `patience` to close as well; the descriptor goes with the last owner of `stream`.
+pub(super) fn close(stream: &mut impl Stream, ending: Ending, patience: Duration) {
     if ending == Ending::PeerGone {
         return;
     }
     stream.end();
     stream.conn().shutdown(Shutdown::Write);
-    stream.conn().set_read_patience(PATIENCE);
-    discard(stream);
+    stream.conn().set_read_patience(patience);
+    discard(stream, patience);
 }
 
 /// Reads until the other side closes, within bounds of time and bytes.
-fn discard(stream: &mut impl Read) {
+fn discard(stream: &mut impl Read, patience: Duration) {
     let (mut bytes, mut discarded, since) = (Vec::new(), 0, Instant::now());
-    while discarded < MOST_DISCARDED && since.elapsed() < PATIENCE {
+    while discarded < MOST_DISCARDED && since.elapsed() < patience {
         bytes.clear();
         match read_some(stream, &mut bytes) {
             Ok(read) if read > 0 => discarded += read,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -66,7 +66,8 @@
 pub(super) fn serve<S: Stream, W: Wire>(mut stream: S, wire: W, place: &Place) {
     let ending = serve_requests(&mut stream, wire, place);
     place.begin_closing();
-    closing::close(&mut stream, ending);
+    let patience = if place.hub.is_closed() { closing::LAST_PATIENCE } else { closing::PATIENCE };
+    closing::close(&mut stream, ending, patience);
 }
 
 fn serve_requests<S: Stream, W: Wire>(stream: &mut S, wire: W, place: &Place) -> Ending {
--- a/tests/program/closing.rs
+++ b/tests/program/closing.rs
@@ -10,6 +10,8 @@
 
 /// A run that no test waits for.
 const ENDLESS: Duration = Duration::from_secs(60);
+/// When a process that was told to leave is killed, as the tests' configuration has it.
+const STOP: Duration = Duration::from_millis(3200);
 const CHECK: &[u8] = b"GET /check HTTP/1.1\r\n\r\n";
 
 /// A program whose table has room for three connections, and none to spare.
@@ -148,3 +150,17 @@
     assert!(program.end().success());
     assert!(agent.launches().is_empty());
 }
+
+#[test]
+fn callers_that_keep_their_side_open_do_not_hold_up_the_end_past_the_stop() {
+    // Guards against answers given just before the stop, each waiting for a caller to close as long as there is left.
+    let agent = Agent::start(1, ENDLESS, false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut open = send(&program, &Ask { patience_ms: 10_000, ..Ask::new("queue-status", b"open") });
+    wait_for("the launch", || agent.launches().len() == 1);
+    let signalled = Instant::now();
+    program.signal("TERM");
+    assert_eq!(read_answer(&mut open).status, 500);
+    assert!(program.end().success());
+    assert!(signalled.elapsed() < STOP, "{:?}", signalled.elapsed());
+}
