Let a keyed try that outlasts a short window run, and count its key until it is over

Cause: brain.rs `expire_keys` dropped the entry, and after two windows the whole record, of a try that was still held; `stands_for_key` starts no try without an entry. A site whose windows are shorter than its hold ran no keyed request that had to wait.

Both now stay while a try of the key is here.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -226,8 +226,7 @@
         }
         self.mean_s += LEARN_WEIGHT * (took - self.mean_s);
         // Behind a crowd of its own a rise is no news: all would take the slowest times for good ones.
-        let few = least >= most || self.open.len() as f64 + 1.0 <= least;
-        let rise = if few { GOOD_WEIGHTS.1 } else { 0.0 };
+        let rise = if least >= most || self.open.len() as f64 + 1.0 <= least { GOOD_WEIGHTS.1 } else { 0.0 };
         self.good_s += if took < self.good_s { GOOD_WEIGHTS.0 } else { rise } * (took - self.good_s);
         let crowded = self.mean_s > CROWD_DELAY * self.good_s;
         let step = if crowded { HOLD_BACK * (most - self.held_back) } else { -HOLD_BACK };
@@ -977,7 +976,6 @@
 
     /// Keys: one run for all tries of a deduplicated request.
     fn note_effect(&mut self, a: &Arrival, arrived: Duration, window: Duration, actions: &mut Vec<Action>) {
-        let key_size = self.s.key_size();
         let effect = self.effects.note(a.id, a.repeats);
         let e = self.effects.all.entry(effect).or_default();
         e.first = Some(e.first.unwrap_or(arrived).min(arrived));
@@ -985,7 +983,7 @@
         self.effects.ends.insert((e.forget_at, effect));
         let ends = arrived + window + TICK;
         if !e.ran() && ends > self.now {
-            self.memory += if e.entry.replace((a.id, ends)).is_none() { key_size } else { 0 };
+            self.memory += if e.entry.replace((a.id, ends)).is_none() { self.s.key_size() } else { 0 };
             self.effects.ends.insert((ends + TICK, effect));
             actions.push(Action::Remember { id: a.id, lifetime: ends - self.now });
         }
@@ -1015,12 +1013,11 @@
 
     /// A held try leaves unrun: its key is freed, unless another try still waits behind it.
     fn release_key(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let size = self.s.key_size();
         let effect = self.effects.of.get(&id).and_then(|e| self.effects.all.get_mut(e));
         let waits = |e: &Effect| e.tries.iter().any(|t| *t != id && self.requests.contains_key(t));
         let Some(e) = effect.filter(|e| !e.ran() && !waits(e)) else { return };
         if let Some((holder, _)) = e.entry.take() {
-            self.memory = self.memory.saturating_sub(size);
+            self.memory = self.memory.saturating_sub(self.s.key_size());
             actions.push(Action::Forget(holder));
         }
     }
@@ -1028,11 +1025,14 @@
     fn expire_keys(&mut self) {
         while let Some(&(at, effect)) = self.effects.ends.first().filter(|(at, _)| *at < self.now) {
             self.effects.ends.remove(&(at, effect));
-            let size = self.s.key_size();
             let Some(e) = self.effects.all.get_mut(&effect) else { continue };
-            if e.entry.is_some_and(|(_, ends)| ends + TICK < self.now) {
-                e.entry = None;
-                self.memory = self.memory.saturating_sub(size);
+            // A try that is still here outlasts a short window.
+            if e.tries.iter().any(|t| self.requests.contains_key(t)) {
+                self.effects.ends.insert((self.now + TICK, effect));
+                continue;
+            }
+            if e.entry.take_if(|(_, ends)| *ends + TICK < self.now).is_some() {
+                self.memory = self.memory.saturating_sub(self.s.key_size());
             }
             if e.forget_at <= at {
                 let gone = self.effects.all.remove(&effect).unwrap_or_default();
