Forget no key while a try from its window may be unread, and bar tries by when they came

A caller may state a longer wait than its class allows: an unknown key that is older than that deadline is failed, not run (arrivals.rs `may_be_forgotten`). [2 launches.] - succession.rs `is_barred`: after a new process went away, the old one kept unknown keys back for a window by the clock. A try that came within it and was read later ran again. [One launch in each process.] It goes by when a try came. - handover.rs: a start is passed on in microseconds and read as 64 bits; a caller that states 2^64 - 1 ms broke the link between two processes, and with it all that was passed on failed. [No result for either request.] The start is cut to now before, as it is for requests that are taken here. By reading: an answer of an SCGI service may have 64 KiB, which in base64 was longer than the longest line of that link; the line may now have 96 KiB. - succession.rs: what was passed on to a process that hangs, and falls due after the stop, was never answered. [No answer within 10 s of the signal, with stop_ms 3200.] It is answered 300 ms before the stop. - mod.rs: with the link down the module was told gauges of any age; they are dropped after 500 ms as for late samples. By reading; nothing shows it from outside.

--- a/fuzz/src/targets/tables.rs
+++ b/fuzz/src/targets/tables.rs
@@ -117,6 +117,7 @@
 
 fn keys_from(u: &mut Unstructured) -> arbitrary::Result<()> {
     const WINDOW: Duration = Duration::from_millis(500);
+    const LATENESS: Duration = Duration::from_millis(1500);
     let names: Vec<Key> = (0..4).map(|n| Arc::from(format!("k{n}"))).collect();
     let mut table = Keys::default();
     let mut plain: Vec<Plain> = vec![Plain::default(); names.len()];
@@ -165,19 +166,18 @@
                 mine.tries.retain(|(n, _)| *n != id);
             }
             _ => {
-                table.sweep(now);
+                table.sweep(now, LATENESS);
                 for p in &mut plain {
-                    p.ran = p
-                        .ran
-                        .take()
-                        .filter(|r| now <= r.until + Duration::from_secs(2) || !p.tries.is_empty());
+                    p.ran = p.ran.take().filter(|r| {
+                        now <= r.until + LATENESS + Duration::from_secs(2) || !p.tries.is_empty()
+                    });
                 }
             }
         }
         for (key, mine) in names.iter().zip(&plain) {
             assert_eq!(table.is_open(key), !mine.tries.is_empty(), "{key}");
-            if let Some(ran) = mine.ran.as_ref().filter(|r| now <= r.until) {
-                assert_eq!(table.ran(key), Some(ran.id), "forgotten within its window");
+            if let Some(ran) = mine.ran.as_ref().filter(|r| now <= r.until + LATENESS) {
+                assert_eq!(table.ran(key), Some(ran.id), "forgotten while a try from its window may come");
                 assert_eq!(table.result(key).as_deref(), ran.result.as_deref());
             }
         }
@@ -199,7 +199,7 @@
     for (key, mine) in names.iter().zip(&plain) {
         mine.tries.iter().for_each(|(id, _)| table.left(key, *id));
     }
-    table.sweep(now + Duration::from_secs(60));
+    table.sweep(now + Duration::from_secs(60), LATENESS);
     assert_eq!((table.len(), table.result_bytes()), (0, 0));
     Ok(())
 }
--- a/src/core/arrivals.rs
+++ b/src/core/arrivals.rs
@@ -41,8 +41,14 @@
             self.counters.key_conflicts += 1;
             return self.turn_back(request.conn, Verdict::Invalid("this key stands for another request"));
         }
+        if key.as_ref().is_some_and(|k| self.may_be_forgotten(now, k, start)) && now < due {
+            self.counters.failed += 1;
+            let class = &self.site.class_names[class];
+            self.effects.extend(route.map(|r| r.counted(now, class, &Verdict::Failed)));
+            return self.answer(request.conn, Verdict::Failed);
+        }
         if key.as_ref().is_some_and(|k| !self.keys.has_room_for(k))
-            || self.is_barred(now, class, key.as_ref())
+            || self.is_barred(start, class, key.as_ref())
         {
             self.counters.refused += 1;
             let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
@@ -93,6 +99,18 @@
         }));
     }
 
+    /// The longest time for which a caller of a keyed class waits by the settings: so late may a try be read.
+    pub(super) fn longest_wait(&self) -> Duration {
+        let keyed = self.site.settings.classes.iter().filter(|c| c.repeat == Repeat::Deduplicated);
+        keyed.map(|c| c.give_up).max().unwrap_or_default()
+    }
+
+    /// The try is so old that a run of its key, within whose window it came, may have been forgotten: its caller
+    /// waits longer than its class allows.
+    fn may_be_forgotten(&self, now: Duration, key: &Key, start: Duration) -> bool {
+        now.saturating_sub(start) > self.longest_wait() && !self.keys.is_known(key)
+    }
+
     /// The place of a tenant in the settings. One that they do not name has no share: the module hears of a place
     /// that is none.
     fn tenant(&mut self, name: Option<&str>) -> usize {
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -12,7 +12,7 @@
 const MOST_KEYS: usize = 50_000;
 /// Bytes of results kept at most; beyond that the oldest are dropped, but never their keys.
 const MOST_RESULT_BYTES: usize = 16 << 20;
-/// A key whose run may have had its effect stays this much longer than its window.
+/// A try is taken to have come within a window up to this long after its end.
 const MARGIN: Duration = Duration::from_secs(1);
 
 /// A try that was run.
@@ -65,6 +65,11 @@
 }
 
 impl Keys {
+    /// A try of it is here, or one was run and is not forgotten.
+    pub fn is_known(&self, key: &Key) -> bool {
+        self.entries.contains_key(key)
+    }
+
     /// Its key is known, or there is room for one more.
     pub fn has_room_for(&self, key: &Key) -> bool {
         self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
@@ -201,11 +206,12 @@
         self.entries.get(key)?.ran.as_ref()?.result.clone()
     }
 
-    /// Forgets what nothing can repeat any more.
-    pub fn sweep(&mut self, now: Duration) {
+    /// Forgets what nothing can repeat any more. A try from within a window may be read up to `lateness` after it
+    /// came, and so after the window has ended.
+    pub fn sweep(&mut self, now: Duration, lateness: Duration) {
         let freed = &mut self.result_bytes;
         self.entries.retain(|_, e| {
-            let ran = e.ran.as_ref().is_some_and(|r| now <= r.until);
+            let ran = e.ran.as_ref().is_some_and(|r| now <= r.until + lateness);
             let keep = ran || !e.tries.is_empty();
             if !keep {
                 *freed -= kept(e.ran.as_ref());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,6 +39,8 @@
 const SAMPLE_PATIENCE: Duration = Duration::from_millis(20);
 /// Gauges older than this are no longer passed on.
 const SAMPLE_LIFETIME: Duration = Duration::from_millis(500);
+/// What another process has not answered so long before this one is stopped is answered here.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
 /// Time between two looks for keys that can be forgotten.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -53,6 +55,7 @@
     Sweep,
     DrainGrace,
     PassedOn(ConnId),
+    LastAnswers,
 }
 
 /// Where a request is.
@@ -316,16 +319,13 @@
                     self.effects.push(Effect::Agent(Command::Sample { ticket: self.ticket }));
                     self.arm(now + SAMPLE_PATIENCE, Timer::SampleLate(self.ticket));
                 } else {
-                    self.tick();
+                    self.tick_without_sample(now);
                 }
             }
             Timer::SampleLate(ticket) => {
                 if ticket == self.ticket && !self.waiting_ticks.is_empty() {
                     self.counters.late_samples += 1;
-                    if now.saturating_sub(self.gauges.0) > SAMPLE_LIFETIME {
-                        self.gauges.1 = Gauges::default();
-                    }
-                    self.tick();
+                    self.tick_without_sample(now);
                 }
             }
             Timer::Due(id) => {
@@ -350,7 +350,8 @@
                 }
             }
             Timer::Sweep => {
-                self.keys.sweep(now);
+                let lateness = self.longest_wait();
+                self.keys.sweep(now, lateness);
                 // Requests that state a long wait and are answered at once leave their timers behind.
                 let (live, partner) = (&self.live, &self.partner);
                 self.timers.retain(|Reverse((_, timer))| match timer {
@@ -364,11 +365,24 @@
             Timer::DrainGrace => {
                 self.grace_over = true;
                 self.effects.push(Effect::StopListening);
+                if let Some(notice) = self.drain {
+                    let stop = notice + self.stop_after;
+                    self.arm(stop.saturating_sub(LAST_ANSWERS).max(now), Timer::LastAnswers);
+                }
             }
+            Timer::LastAnswers => self.give_up_partner(),
         }
         self.settle_events(now, actions);
     }
 
+    /// Hands the module its timers although no new gauges came; old ones are no longer passed on.
+    fn tick_without_sample(&mut self, now: Duration) {
+        if now.saturating_sub(self.gauges.0) > SAMPLE_LIFETIME {
+            self.gauges.1 = Gauges::default();
+        }
+        self.tick();
+    }
+
     /// Hands the module its timers, with the gauges as they are.
     fn tick(&mut self) {
         let gauges = self.gauges.1;
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -29,7 +29,7 @@
     complete: bool,
     /// Two processes live that may call below: each keeps to half of the server's share.
     pub(super) halves: bool,
-    /// The new process went away: until then it may have run keys that nobody here knows of.
+    /// The new process went away: tries that came up to then may repeat what it ran, and nobody here knows of.
     barred_until: Duration,
 }
 
@@ -82,10 +82,7 @@
                 }
             }
             // It runs keys that nobody here hears of: nothing may begin here until it is gone.
-            Succession::SuccessorLost if self.partner.yields => {
-                self.partner.lost = true;
-                self.fail_passed_on();
-            }
+            Succession::SuccessorLost if self.partner.yields => self.give_up_partner(),
             // Nothing was handed over to it.
             Succession::SuccessorLost => {}
             Succession::SuccessorGone if !self.partner.yields => {}
@@ -122,6 +119,12 @@
         waiters.into_iter().for_each(|id| self.end_join(now, id, None));
     }
 
+    /// The process that decides is asked nothing any more; what it was asked gets an answer here.
+    pub(super) fn give_up_partner(&mut self) {
+        self.partner.lost = self.partner.yields;
+        self.fail_passed_on();
+    }
+
     /// What was passed on may have run there, and its answer will not come.
     fn fail_passed_on(&mut self) {
         let mut open: Vec<_> = self.partner.passed_on.drain().collect();
@@ -140,7 +143,9 @@
             return self.answer(request.conn, refusal);
         }
         let longest = self.site.settings.classes.iter().map(|c| c.give_up).max();
-        let due = request.start.min(now) + request.patience.or(longest).unwrap_or_default();
+        // A caller may state any start: the other process reads times of 64 bits of microseconds.
+        let request = Request { start: request.start.min(now), ..request };
+        let due = request.start + request.patience.or(longest).unwrap_or_default();
         self.partner.passed_on.insert(request.conn);
         self.open += 1;
         self.arm(due.max(now) + OVERDUE, Timer::PassedOn(request.conn));
@@ -157,9 +162,10 @@
     }
 
     /// A request with a key must not be run while a process that went away may have run another try of it.
-    pub(super) fn is_barred(&self, now: Duration, class: usize, key: Option<&Key>) -> bool {
+    /// What counts is when a try came, however late it is read.
+    pub(super) fn is_barred(&self, start: Duration, class: usize, key: Option<&Key>) -> bool {
         let keyed = self.site.settings.classes[class].repeat == Repeat::Deduplicated;
-        keyed && now < self.partner.barred_until && key.is_none_or(|k| self.keys.ran(k).is_none())
+        keyed && start <= self.partner.barred_until && key.is_none_or(|k| self.keys.ran(k).is_none())
     }
 
     /// Has a request wait for a run of the old process; false if that is not one.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -29,8 +29,8 @@
 const QUEUE: usize = 4096;
 /// A process that reads nothing for this long is taken to hang.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
-/// The longest line: a result or a body, and a key.
-const MOST_LINE: usize = 64 << 10;
+/// The longest line: a result of the longest line that an agent or a service may send, in base64, and a key.
+const MOST_LINE: usize = 96 << 10;
 /// A process that ends closes its links a little before it is gone.
 const END_PATIENCE: Duration = Duration::from_millis(200);
 /// Time between two looks whether it is gone.
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -56,6 +56,8 @@
 #[derive(Default)]
 pub struct Setup {
     pub agent: Option<SocketAddr>,
+    /// In its place, an agent that may not be there: the program's start waits for no link.
+    pub silent_agent: Option<SocketAddr>,
     pub vault: Option<SocketAddr>,
     pub application: Option<SocketAddr>,
     pub below: Option<SocketAddr>,
@@ -123,7 +125,7 @@
         let config = format!(
             r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":3200,"settings":{site}}}"#,
             control.local_addr().unwrap(),
-            address("agent", setup.agent),
+            address("agent", setup.agent.or(setup.silent_agent)),
             address("vault", setup.vault),
             setup.sockets.unwrap_or(1024),
         );
@@ -245,13 +247,15 @@
 pub struct Ask {
     pub class: &'static str,
     pub key: Option<String>,
+    /// When it came to the machine; now where it is not told.
+    pub start_ms: Option<u64>,
     pub patience_ms: u64,
     pub body: Vec<u8>,
 }
 
 impl Ask {
     pub fn new(class: &'static str, body: &[u8]) -> Self {
-        Self { class, key: None, patience_ms: 1500, body: body.to_vec() }
+        Self { class, key: None, start_ms: None, patience_ms: 1500, body: body.to_vec() }
     }
 
     pub fn keyed(key: &str, body: &[u8]) -> Self {
@@ -262,7 +266,7 @@
         let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
         let mut fields = vec![
             ("X-Request-Id", id),
-            ("X-Request-Start", unix_ms().to_string()),
+            ("X-Request-Start", self.start_ms.unwrap_or_else(unix_ms).to_string()),
             ("X-Timeout-Ms", self.patience_ms.to_string()),
             ("X-Memory-Kb", "40".to_string()),
             ("X-Rank", if self.key.is_some() { "0.8" } else { "0.1" }.to_string()),
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -129,3 +129,42 @@
     old.wait_for_log("it lives on");
     assert_eq!(exchange(old.http, &Ask::keyed("b", b"x").http()).status, 200);
 }
+
+/// A request that the old process has passed on to a new one, which hangs.
+fn passed_on_to_a_process_that_hangs(patience_ms: u64) -> (Program, Program, std::net::TcpStream) {
+    let (old_agent, new_agent) = (Agent::start(1, QUICK, false), Agent::start(1, QUICK, false));
+    let old = Program::start(with_agent(&old_agent));
+    let mut kept = connect(old.http);
+    kept.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+    assert_eq!(read_answer(&mut kept).status, 200);
+    let bytes = Ask { patience_ms, ..Ask::new("queue-status", b"b") }.http();
+    let (most, last) = bytes.split_at(bytes.len() - 1);
+    kept.write_all(most).unwrap();
+    let new = old.successor(&old_agent, &new_agent);
+    new.signal("STOP");
+    kept.write_all(last).unwrap();
+    wait_for("the request", || old.counter("taken_in") == 2);
+    (old, new, kept)
+}
+
+#[test]
+fn what_was_passed_on_to_a_process_that_hangs_is_answered_when_due() {
+    let (_old, _new, mut kept) = passed_on_to_a_process_that_hangs(5_000);
+    assert_eq!(read_answer(&mut kept).status, 500);
+}
+
+#[test]
+fn what_was_passed_on_to_a_process_that_dies_is_answered_at_once() {
+    let (_old, new, mut kept) = passed_on_to_a_process_that_hangs(60_000);
+    drop(new);
+    assert_eq!(read_answer(&mut kept).status, 500);
+}
+
+#[test]
+fn what_was_passed_on_to_a_process_that_hangs_is_answered_before_the_old_one_is_stopped() {
+    // Guards against a request that waits for the other process until the kill: it is due only later.
+    let (mut old, _new, mut kept) = passed_on_to_a_process_that_hangs(60_000);
+    old.signal("TERM");
+    assert_eq!(read_answer(&mut kept).status, 500);
+    assert!(old.end().success());
+}
