Keep no record of keys that never ran beyond what callers wait

Seen: the module kept a record of every keyed try, run or not, for two windows.

Cause: brain.rs `note_effect` and `expire_keys`. One look at a record is noted at a time instead of two; by the way an entry whose end lies behind its record's (a window under 100 ms) gives its memory back, which it did not.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -906,8 +906,7 @@
         self.set_phase(id, Phase::Held);
         self.calls.end(id, self.now, self.s.call_linger);
         self.held.remove(&id);
-        let freed = self.requests.remove(&id).map_or(0, |r| r.size);
-        self.memory = self.memory.saturating_sub(freed);
+        self.memory = self.memory.saturating_sub(self.requests.remove(&id).map_or(0, |r| r.size));
     }
 
     /// The crowd on the cores that is survived: less while cold, at the slowest warming that is promised.
@@ -929,8 +928,7 @@
         let mut crowded = false;
         for (skips, at, id) in waiting {
             let Some(r) = self.requests.get(&id) else { continue };
-            let way = self.way(r.class);
-            let class = &self.s.classes[r.class];
+            let (way, class) = (self.way(r.class), &self.s.classes[r.class]);
             let until = if class.late_value > 0.0 { r.due } else { r.wanted.max(self.now + TICK).min(r.due) };
             let left = until.saturating_sub(self.now);
             // Another version may allow fewer tries than there were.
@@ -977,14 +975,13 @@
     /// Keys: one run for all tries of a deduplicated request.
     fn note_effect(&mut self, a: &Arrival, arrived: Duration, window: Duration, actions: &mut Vec<Action>) {
         let effect = self.effects.note(a.id, a.repeats);
-        let e = self.effects.all.entry(effect).or_default();
+        let (e, patience) = (self.effects.all.entry(effect).or_default(), self.s.classes[a.class].give_up);
         e.first = Some(e.first.unwrap_or(arrived).min(arrived));
         e.forget_at = e.forget_at.max(arrived + window * 2);
-        self.effects.ends.insert((e.forget_at, effect));
         let ends = arrived + window + TICK;
+        self.effects.ends.insert(((ends + TICK).min(arrived + patience * 2), effect));
         if !e.ran() && ends > self.now {
             self.memory += if e.entry.replace((a.id, ends)).is_none() { self.s.key_size() } else { 0 };
-            self.effects.ends.insert((ends + TICK, effect));
             actions.push(Action::Remember { id: a.id, lifetime: ends - self.now });
         }
     }
@@ -1026,7 +1023,7 @@
         while let Some(&(at, effect)) = self.effects.ends.first().filter(|(at, _)| *at < self.now) {
             self.effects.ends.remove(&(at, effect));
             let Some(e) = self.effects.all.get_mut(&effect) else { continue };
-            // A try that is still here outlasts a short window.
+            // A try that is still here outlasts a short window. No repeat names what never ran and is gone.
             if e.tries.iter().any(|t| self.requests.contains_key(t)) {
                 self.effects.ends.insert((self.now + TICK, effect));
                 continue;
@@ -1034,9 +1031,11 @@
             if e.entry.take_if(|(_, ends)| *ends + TICK < self.now).is_some() {
                 self.memory = self.memory.saturating_sub(self.s.key_size());
             }
-            if e.forget_at <= at {
+            if e.entry.is_none() && (!e.ran() || e.forget_at <= at) {
                 let gone = self.effects.all.remove(&effect).unwrap_or_default();
                 gone.tries.iter().for_each(|id| _ = self.effects.of.remove(id));
+            } else {
+                self.effects.ends.insert((e.entry.map_or(e.forget_at, |(_, ends)| ends + TICK), effect));
             }
         }
     }
--- a/tests/program/repeats.rs
+++ b/tests/program/repeats.rs
@@ -156,3 +156,29 @@
     near.write_all(near_bytes.1).unwrap();
     assert_eq!(read_answer(&mut near).body, b"made:near");
 }
+
+#[test]
+fn keys_that_never_ran_take_no_memory_for_their_window() {
+    // Guards against a flood of keyed requests, all turned away, that fills the memory of a server with a long window.
+    let agent = Agent::start(1, QUICK, false);
+    let site = vec![
+        (r#""memory_span_us": 13356000"#, r#""memory_span_us": 86400000000"#),
+        (r#""give_up_us": 4500000"#, r#""give_up_us": 300000"#),
+        (r#""promise_us": 1800000"#, r#""promise_us": 300000"#),
+        // Nothing fits, and so nothing runs.
+        (r#""memory_kb": 34680.0"#, r#""memory_kb": 20"#),
+    ];
+    let program = Program::start(Setup { site, ..with_agent(&agent) });
+    let mut stream = connect(program.http);
+    let mut turned_away = |count: usize, from: usize| {
+        for n in from..from + count {
+            stream.write_all(&Ask::keyed(&format!("key {n}"), b"x").http()).unwrap();
+            assert_eq!(read_answer(&mut stream).status, 503);
+        }
+    };
+    turned_away(1_000, 0);
+    let before = program.resident_kb();
+    turned_away(15_000, 1_000);
+    let more = program.resident_kb().saturating_sub(before);
+    assert!(more < 3_000, "{more} kB for 15,000 keys");
+}
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -200,6 +200,13 @@
         exchange(self.admin, format!("{method} {path} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes()).status
     }
 
+    /// The memory that it holds, in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.unwrap().success());
