--- a/src/brain.rs
+++ b/src/brain.rs
@@ -226,8 +226,7 @@
         }
         self.mean_s += LEARN_WEIGHT * (took - self.mean_s);
         // Behind a crowd of its own a rise is no news: all would take the slowest times for good ones.
-        let few = least >= most || self.open.len() as f64 + 1.0 <= least;
-        let rise = if few { GOOD_WEIGHTS.1 } else { 0.0 };
+        let rise = if least >= most || self.open.len() as f64 + 1.0 <= least { GOOD_WEIGHTS.1 } else { 0.0 };
         self.good_s += if took < self.good_s { GOOD_WEIGHTS.0 } else { rise } * (took - self.good_s);
         let crowded = self.mean_s > CROWD_DELAY * self.good_s;
         let step = if crowded { HOLD_BACK * (most - self.held_back) } else { -HOLD_BACK };
@@ -907,8 +906,7 @@
         self.set_phase(id, Phase::Held);
         self.calls.end(id, self.now, self.s.call_linger);
         self.held.remove(&id);
-        let freed = self.requests.remove(&id).map_or(0, |r| r.size);
-        self.memory = self.memory.saturating_sub(freed);
+        self.memory = self.memory.saturating_sub(self.requests.remove(&id).map_or(0, |r| r.size));
     }
 
     /// The crowd on the cores that is survived: less while cold, at the slowest warming that is promised.
@@ -930,8 +928,7 @@
         let mut crowded = false;
         for (skips, at, id) in waiting {
             let Some(r) = self.requests.get(&id) else { continue };
-            let way = self.way(r.class);
-            let class = &self.s.classes[r.class];
+            let (way, class) = (self.way(r.class), &self.s.classes[r.class]);
             let until = if class.late_value > 0.0 { r.due } else { r.wanted.max(self.now + TICK).min(r.due) };
             let left = until.saturating_sub(self.now);
             // Another version may allow fewer tries than there were.
@@ -977,16 +974,14 @@
 
     /// Keys: one run for all tries of a deduplicated request.
     fn note_effect(&mut self, a: &Arrival, arrived: Duration, window: Duration, actions: &mut Vec<Action>) {
-        let key_size = self.s.key_size();
         let effect = self.effects.note(a.id, a.repeats);
-        let e = self.effects.all.entry(effect).or_default();
+        let (e, patience) = (self.effects.all.entry(effect).or_default(), self.s.classes[a.class].give_up);
         e.first = Some(e.first.unwrap_or(arrived).min(arrived));
         e.forget_at = e.forget_at.max(arrived + window * 2);
-        self.effects.ends.insert((e.forget_at, effect));
         let ends = arrived + window + TICK;
+        self.effects.ends.insert(((ends + TICK).min(arrived + patience * 2), effect));
         if !e.ran() && ends > self.now {
-            self.memory += if e.entry.replace((a.id, ends)).is_none() { key_size } else { 0 };
-            self.effects.ends.insert((ends + TICK, effect));
+            self.memory += if e.entry.replace((a.id, ends)).is_none() { self.s.key_size() } else { 0 };
             actions.push(Action::Remember { id: a.id, lifetime: ends - self.now });
         }
     }
@@ -1015,12 +1010,11 @@
 
     /// A held try leaves unrun: its key is freed, unless another try still waits behind it.
     fn release_key(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let size = self.s.key_size();
         let effect = self.effects.of.get(&id).and_then(|e| self.effects.all.get_mut(e));
         let waits = |e: &Effect| e.tries.iter().any(|t| *t != id && self.requests.contains_key(t));
         let Some(e) = effect.filter(|e| !e.ran() && !waits(e)) else { return };
         if let Some((holder, _)) = e.entry.take() {
-            self.memory = self.memory.saturating_sub(size);
+            self.memory = self.memory.saturating_sub(self.s.key_size());
             actions.push(Action::Forget(holder));
         }
     }
@@ -1028,15 +1022,20 @@
     fn expire_keys(&mut self) {
         while let Some(&(at, effect)) = self.effects.ends.first().filter(|(at, _)| *at < self.now) {
             self.effects.ends.remove(&(at, effect));
-            let size = self.s.key_size();
             let Some(e) = self.effects.all.get_mut(&effect) else { continue };
-            if e.entry.is_some_and(|(_, ends)| ends + TICK < self.now) {
-                e.entry = None;
-                self.memory = self.memory.saturating_sub(size);
+            // A try that is still here outlasts a short window. No repeat names what never ran and is gone.
+            if e.tries.iter().any(|t| self.requests.contains_key(t)) {
+                self.effects.ends.insert((self.now + TICK, effect));
+                continue;
             }
-            if e.forget_at <= at {
+            if e.entry.take_if(|(_, ends)| *ends + TICK < self.now).is_some() {
+                self.memory = self.memory.saturating_sub(self.s.key_size());
+            }
+            if e.entry.is_none() && (!e.ran() || e.forget_at <= at) {
                 let gone = self.effects.all.remove(&effect).unwrap_or_default();
                 gone.tries.iter().for_each(|id| _ = self.effects.of.remove(id));
+            } else {
+                self.effects.ends.insert((e.entry.map_or(e.forget_at, |(_, ends)| ends + TICK), effect));
             }
         }
     }
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -56,6 +56,8 @@
 #[derive(Default)]
 pub struct Setup {
     pub agent: Option<SocketAddr>,
+    /// In its place, an agent that may not be there: the program's start waits for no link.
+    pub silent_agent: Option<SocketAddr>,
     pub vault: Option<SocketAddr>,
     pub application: Option<SocketAddr>,
     pub below: Option<SocketAddr>,
@@ -125,7 +127,7 @@
         let config = format!(
             r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":{},"settings":{site}}}"#,
             control.local_addr().unwrap(),
-            address("agent", setup.agent),
+            address("agent", setup.agent.or(setup.silent_agent)),
             address("vault", setup.vault),
             setup.sockets.unwrap_or(1024),
             setup.stop_ms.unwrap_or(3200),
@@ -213,6 +215,13 @@
         assert!(set.unwrap().success());
     }
 
+    /// The memory that it holds, in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.unwrap().success());
@@ -283,13 +292,15 @@
 pub struct Ask {
     pub class: &'static str,
     pub key: Option<String>,
+    /// When it came to the machine; now where it is not told.
+    pub start_ms: Option<u64>,
     pub patience_ms: u64,
     pub body: Vec<u8>,
 }
 
 impl Ask {
     pub fn new(class: &'static str, body: &[u8]) -> Self {
-        Self { class, key: None, patience_ms: 1500, body: body.to_vec() }
+        Self { class, key: None, start_ms: None, patience_ms: 1500, body: body.to_vec() }
     }
 
     pub fn keyed(key: &str, body: &[u8]) -> Self {
@@ -300,7 +311,7 @@
         let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
         let mut fields = vec![
             ("X-Request-Id", id),
-            ("X-Request-Start", unix_ms().to_string()),
+            ("X-Request-Start", self.start_ms.unwrap_or_else(unix_ms).to_string()),
             ("X-Timeout-Ms", self.patience_ms.to_string()),
             ("X-Memory-Kb", "40".to_string()),
             ("X-Rank", if self.key.is_some() { "0.8" } else { "0.1" }.to_string()),
