--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -327,6 +327,10 @@
         if let Some(driver) = &self.driver {
             driver.leave();
         }
+        // Answers for the process that ran before may still be queued.
+        if let Some(predecessor) = &self.predecessor {
+            predecessor.finish();
+        }
         self.successor.finish();
         info!("counters at exit: {}", self.core.counters());
         Ok(())
