Number the marks in the agent's notices, and test what waits in a backlog

Left of the repair, found in the review of the whole change: - `Sync` and `Synced` carried no number: a mark told late passed as the answer to the one behind a pause, and a launch that must run once was repeated without proof. They carry one now (`sync-N` as the ticket), and only the last asked for counts.

--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -117,7 +117,7 @@
                 Command::Thaw { handle },
                 Command::Forgo { handle, cursor },
                 Command::Sample { ticket: 1 },
-                Command::Sync,
+                Command::Sync(3),
             ];
             for command in commands {
                 let mut out = String::new();
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -72,7 +72,7 @@
 
     /// Its key is known, or there is room for one more.
     pub fn has_room_for(&self, key: &Key) -> bool {
-        self.entries.len() < MOST_KEYS || self.entries.contains_key(key)
+        self.entries.len() < MOST_KEYS || self.is_known(key)
     }
 
     /// The key stands for something else: no try of what `what` is the digest of.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -114,6 +114,8 @@
     waiting_ticks: Vec<u64>,
     gauges: (Duration, Gauges),
     greeted: bool,
+    /// The number of the last [`Command::Sync`].
+    sync: u64,
     link_up: bool,
     lost_at: Duration,
     /// Classes that the site has no more, and until when requests of them are taken.
@@ -157,6 +159,7 @@
             waiting_ticks: Vec::new(),
             gauges: (Duration::ZERO, Gauges::default()),
             greeted: false,
+            sync: 0,
             link_up: false,
             lost_at: Duration::ZERO,
             served_until: BTreeMap::new(),
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -33,7 +33,7 @@
                     }
                 }
                 // Everything told since the last link comes before the answer to this.
-                self.effects.push(Effect::Agent(Command::Sync));
+                self.ask_for_sync();
             }
             Notice::Lost(_) => {
                 (self.link_up, self.lost_at) = (false, now);
@@ -41,7 +41,9 @@
                 // What is said from now on waits for the next link, and is not in doubt.
                 self.live.values_mut().for_each(|l| (l.doubtful, l.tested) = (l.unheard.is_some(), false));
             }
-            Notice::Synced => self.say_again(now),
+            // An earlier one proves nothing of what was said since: it may come late, over a link that broke at once.
+            Notice::Synced(number) if number == self.sync => self.say_again(now),
+            Notice::Synced(_) => {}
             Notice::Sampled { ticket, figures } => {
                 let mut gauges = Gauges::default();
                 for (name, figure) in self.site.gauges.iter().zip(figures) {
@@ -164,13 +166,19 @@
         let tests = self.live.values().any(|l| l.tested);
         self.effects.extend(again.into_iter().map(|(_, command)| Effect::Agent(command)));
         if tests {
-            self.effects.push(Effect::Agent(Command::Sync));
+            self.ask_for_sync();
         }
         // Answered, and perhaps never begun: no notice would ever free the slot. The key stays taken.
         over.sort_unstable();
         over.into_iter().for_each(|id| self.run_ended(now, id, End::Broken, None, None));
     }
 
+    /// Asks for a mark in the notices, behind all that the agent tells before it reads this.
+    fn ask_for_sync(&mut self) {
+        self.sync += 1;
+        self.effects.push(Effect::Agent(Command::Sync(self.sync)));
+    }
+
     /// A run that paused as a test of whether it had begun goes on.
     fn goes_on(&mut self, id: RequestId) -> bool {
         let Some(live) = self.live.get_mut(&id).filter(|l| l.tested && l.conn.is_some()) else {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -216,8 +216,8 @@
     },
     /// The link broke.
     Lost(End),
-    /// Everything told before [`Command::Sync`] was read.
-    Synced,
+    /// Everything told before the [`Command::Sync`] of this number was read.
+    Synced(u64),
     /// The gauges.
     Sampled {
         /// The ticket that asked for them.
@@ -298,7 +298,7 @@
         ticket: u64,
     },
     /// Answer once everything before is told.
-    Sync,
+    Sync(u64),
 }
 
 /// What a caller is told.
--- a/src/net/agent.rs
+++ b/src/net/agent.rs
@@ -26,8 +26,8 @@
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 /// An agent that reads nothing for this long is taken to be gone: the link is made anew.
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
-/// The ticket of a sample that only marks a place in the notices.
-const SYNC_TICKET: &str = "sync";
+/// The ticket of a sample that only marks a place in the notices; its number follows.
+const SYNC_TICKET: &str = "sync-";
 /// The ticket of the last sample on a link that is about to move, and the number that stands for it.
 const MOVE_TICKET: &str = "move";
 const MOVE: u64 = u64::MAX;
@@ -120,7 +120,7 @@
                 true
             }
             // Questions about the link that broke: the next one's are asked once it greets.
-            Command::Sample { .. } | Command::Sync => false,
+            Command::Sample { .. } | Command::Sync(_) => false,
         };
         if news {
             encode(command, &mut self.lines);
@@ -353,7 +353,9 @@
             format!(r#"{{"event":"forgo","handle":"{handle}","cursor":{cursor}}}"#)
         }
         Command::Sample { ticket } => format!(r#"{{"event":"sample","ticket":"{ticket}"}}"#),
-        Command::Sync => format!(r#"{{"event":"sample","ticket":"{SYNC_TICKET}"}}"#),
+        Command::Sync(number) => {
+            format!(r#"{{"event":"sample","ticket":"{SYNC_TICKET}{number}"}}"#)
+        }
     };
     out.push_str(&line);
     out.push('\n');
@@ -405,8 +407,11 @@
             Some(Notice::CallNeeded { handle: handle()?, cursor: cursor.ok_or(lacks("cursor"))?, body })
         }
         "sampled" => match text("ticket").ok_or(lacks("ticket"))? {
-            SYNC_TICKET => Some(Notice::Synced),
             MOVE_TICKET => Some(Notice::Sampled { ticket: MOVE, figures: Vec::new() }),
+            ticket if ticket.starts_with(SYNC_TICKET) => {
+                let number = ticket.trim_start_matches(SYNC_TICKET).parse();
+                number.ok().map(Notice::Synced)
+            }
             ticket => {
                 let figures = members.get("figures").and_then(|v| v.get::<Vec<JsonValue>>());
                 let figures = figures.ok_or(lacks("figures"))?;
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -27,7 +27,8 @@
     PeerGone,
 }
 
-/// Closes a connection, towards a side that may take up to `patience` to close as well; the descriptor goes with the last owner of `stream`.
+/// Closes a connection, towards a side that may take up to `patience` to close as well; the descriptor goes with the
+/// last owner of `stream`.
 pub(super) fn close(stream: &mut impl Stream, ending: Ending, patience: Duration) {
     if ending == Ending::PeerGone {
         return;
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -30,11 +30,13 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks whether a connection that was accepted has found room.
 const ROOM_LOOK: Duration = Duration::from_millis(2);
-/// Handshakes that were under way when new ones were shut out end within this time: some round trips of a
-/// site.
+/// Handshakes that were under way when new ones were shut out end within this time: some
+/// round trips of a site.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(5);
-/// Time between two looks at the backlog meanwhile, and between two attempts to wake the accepting coroutine.
+/// Time between two looks at the backlog meanwhile, and after the first attempt to wake the accepting coroutine, doubled
+/// up to the second after each further one.
 const STOP_LOOK: Duration = Duration::from_millis(1);
+const MOST_STOP_LOOK: Duration = Duration::from_millis(50);
 
 /// What the reducer's side keeps of a caller's connection.
 pub(super) struct ConnectionHandle {
@@ -116,21 +118,30 @@
     /// Begins to stop: connections that the system has accepted are taken in, and later ones are refused, or go to the
     /// process that took over.
     pub(super) fn stop(&self, has_successor: bool) {
-        self.state.has_successor.store(has_successor, Ordering::Release);
-        if self.state.is_asked.swap(true, Ordering::AcqRel) {
+        if self.is_stopping() {
             return;
         }
+        self.state.has_successor.store(has_successor, Ordering::Release);
+        self.state.is_asked.store(true, Ordering::Release);
         let front = self.clone();
         // A connection to itself wakes the coroutine that waits for one. Where another process shares the address it
         // may get this one instead, to which it is a caller that says nothing.
         spawn(move || {
+            // It may be a while until that coroutine looks, where a connection waits for room.
+            let mut wait = STOP_LOOK;
             while !front.state.has_begun.load(Ordering::Acquire) {
                 drop(TcpStream::connect_timeout(&front.address, ACCEPT_PAUSE));
-                crate::net::spawn::sleep(STOP_LOOK);
+                crate::net::spawn::sleep(wait);
+                wait = (wait * 2).min(MOST_STOP_LOOK);
             }
         });
     }
 
+    /// It was asked to stop; only the reducer's thread asks.
+    fn is_stopping(&self) -> bool {
+        self.state.is_asked.load(Ordering::Acquire)
+    }
+
     /// The listener is closed, and all that the system had accepted is taken in.
     pub(super) fn is_closed(&self) -> bool {
         self.state.is_closed.load(Ordering::Acquire)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -140,9 +140,8 @@
     runner: Runner,
     below: Below,
     control: Arc<AtomicBool>,
+    /// Where callers connect; none before this process takes them.
     fronts: Vec<Front>,
-    /// Fronts that are stopping, or have stopped.
-    stopped_fronts: Vec<Front>,
     config: Config,
     certificate: Shared,
     /// The process that ran before, until it has handed over and ended.
@@ -201,7 +200,6 @@
             below,
             control,
             fronts: Vec::new(),
-            stopped_fronts: Vec::new(),
             config: config.clone(),
             certificate,
             predecessor,
@@ -266,7 +264,7 @@
     /// Requests can be run: the process that served before is asked to hand over, or callers are served.
     fn able(&mut self) {
         match &self.predecessor {
-            Some(predecessor) if !self.has_opened() => {
+            Some(predecessor) if self.fronts.is_empty() => {
                 let predecessor = predecessor.clone();
                 // Asked once while it waits for its lease, however often the agent greets meanwhile.
                 if self.hub.routing.is_none() || !std::mem::replace(&mut self.begins, true) {
@@ -279,7 +277,7 @@
 
     /// Takes callers; a process that served before has handed over, or is gone.
     fn take_callers(&mut self) {
-        if !self.has_opened() && !self.hub.is_closed() {
+        if self.fronts.is_empty() && !self.hub.is_closed() {
             self.fault = self.open_fronts().err();
             self.hub.ready.store(true, Ordering::Release);
         }
@@ -336,23 +334,17 @@
         Ok(())
     }
 
-    /// The fronts were opened, whether or not they have stopped since.
-    fn has_opened(&self) -> bool {
-        !self.fronts.is_empty() || !self.stopped_fronts.is_empty()
-    }
-
     /// Nobody can connect any more, and all connections are closed. Those that are owed nothing have had their time.
     fn has_closed(&self) -> bool {
         if self.hub.closed_for().is_some_and(|since| since > front::CLOSING_PATIENCE) {
             self.hub.evict_all();
         }
-        self.stopped_fronts.iter().all(Front::is_closed) && self.hub.connections().is_empty()
+        self.fronts.iter().all(Front::is_closed) && self.hub.connections().is_empty()
     }
 
     /// Stops taking connections on all fronts.
-    fn stop_fronts(&mut self, has_successor: bool) {
+    fn stop_fronts(&self, has_successor: bool) {
         self.fronts.iter().for_each(|front| front.stop(has_successor));
-        self.stopped_fronts.append(&mut self.fronts);
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -442,7 +434,7 @@
                 self.hub.yields.store(true, Ordering::Relaxed);
                 self.stop_fronts(true);
                 let counters = format!("{}", self.core.counters());
-                let stopped = self.stopped_fronts.clone();
+                let stopped = self.fronts.clone();
                 // Said only then: whoever reads it finds the other process at the address, and nobody else.
                 spawn(move || {
                     while !stopped.iter().all(Front::is_closed) {
--- /dev/null
+++ b/tests/core/bench.rs
@@ -0,0 +1,114 @@
+//! The reducer with a clock of the test's own, and all that it asked for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hopwalk::core::*;
+use hopwalk::settings::Site;
+
+pub const SITE: &str = include_str!("../../src/lab/site.json");
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(1_000_000 + n)
+}
+
+pub struct Bench {
+    pub core: Core,
+    pub conns: u64,
+    /// All that the reducer asked for.
+    pub done: Vec<Effect>,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        let core = Core::new(Site::parse(SITE).unwrap(), 1, Duration::from_millis(3200), ms(0)).unwrap();
+        let mut bench = Self { core, conns: 0, done: Vec::new() };
+        bench.notice(0, Notice::Greeting { cold: false, lasted: Duration::from_secs(60) });
+        bench
+    }
+
+    pub fn step(&mut self, at: u64, inputs: impl IntoIterator<Item = Input>) -> Vec<Effect> {
+        let effects = self.core.step(ms(at), inputs);
+        self.done.extend(effects.clone());
+        effects
+    }
+
+    pub fn notice(&mut self, at: u64, notice: Notice) -> Vec<Effect> {
+        self.step(at, [Input::Agent(notice)])
+    }
+
+    /// The agent has told all that it had to tell when it read the last question for that.
+    pub fn synced(&mut self, at: u64) -> Vec<Effect> {
+        let number = |effect: &Effect| match effect {
+            Effect::Agent(Command::Sync(number)) => Some(*number),
+            _ => None,
+        };
+        let last = self.done.iter().rev().find_map(number).unwrap();
+        self.notice(at, Notice::Synced(last))
+    }
+
+    /// Lets time go by, as the program does: woken for each timer.
+    pub fn pass(&mut self, until: u64) {
+        while let Some(at) = self.core.next_timer().filter(|at| *at <= ms(until)) {
+            let effects = self.core.step(at, []);
+            self.done.extend(effects);
+        }
+    }
+
+    pub fn request(&mut self, at: u64, class: &str, key: Option<&str>) -> Input {
+        self.conns += 1;
+        Input::Request(Box::new(Request {
+            conn: self.conns,
+            handle: handle(self.conns),
+            class: class.to_string(),
+            start: ms(at),
+            patience: Some(Duration::from_millis(1500)),
+            caller: 1,
+            tenant: None,
+            cost: None,
+            size_kb: 40.0,
+            rank: if key.is_some() { 0.8 } else { 0.1 },
+            key: key.map(Arc::from),
+            object: None,
+            body: Arc::from(*b"body"),
+        }))
+    }
+
+    pub fn send(&mut self, at: u64, class: &str, key: Option<&str>) -> Handle {
+        let request = self.request(at, class, key);
+        self.step(at, [request]);
+        handle(self.conns)
+    }
+
+    pub fn complete(&mut self, at: u64, handle: Handle, result: &[u8]) {
+        let lasted = Some(Duration::from_millis(20));
+        let result = Some(Arc::from(result));
+        self.notice(at, Notice::Outcome { handle, end: End::Complete, lasted, result });
+    }
+
+    pub fn answers(&self, conn: u64) -> Vec<&Verdict> {
+        let of = |e: &'_ Effect| matches!(e, Effect::Answer { conn: c, .. } if *c == conn);
+        let answers = self.done.iter().filter(|e| of(e));
+        answers
+            .filter_map(|e| if let Effect::Answer { answer, .. } = e { Some(&answer.verdict) } else { None })
+            .collect()
+    }
+
+    pub fn launches(&self) -> usize {
+        self.done.iter().filter(|e| matches!(e, Effect::Agent(Command::Launch { .. }))).count()
+    }
+}
+
+pub fn handle(n: u64) -> Handle {
+    format!("{n:016x}").parse().unwrap()
+}
+
+pub fn served(result: &[u8]) -> Verdict {
+    Verdict::Served(Arc::from(result))
+}
+
+/// How often effects launch a request.
+pub fn launches_of(effects: &[Effect], handle: Handle) -> usize {
+    let of = |e: &&Effect| matches!(e, Effect::Agent(Command::Launch { handle: h, .. }) if *h == handle);
+    effects.iter().filter(of).count()
+}
--- a/tests/program/closing.rs
+++ b/tests/program/closing.rs
@@ -164,3 +164,87 @@
     assert!(program.end().success());
     assert!(signalled.elapsed() < STOP, "{:?}", signalled.elapsed());
 }
+
+/// Three callers that take all places until their requests fall due, one more that has been accepted, and two in the
+/// backlog behind it.
+fn more_callers_than_places(program: &Program, agent: &Agent) -> (Vec<TcpStream>, Vec<TcpStream>) {
+    let busy = Ask { patience_ms: 1500, ..Ask::new("queue-status", b"busy") };
+    let busy = (0..3).map(|_| send(program, &busy)).collect();
+    wait_for("the requests", || program.counter("taken_in") == 3);
+    assert!(!agent.launches().is_empty());
+    let waiting = Ask { patience_ms: 6000, ..Ask::new("queue-status", b"waiting") };
+    let waiting = (0..3).map(|_| send(program, &waiting)).collect();
+    (busy, waiting)
+}
+
+#[test]
+fn what_waits_in_the_backlog_as_the_listener_closes_is_answered() {
+    // Guards against a listener that is closed over connections that the system has accepted.
+    let agent = Agent::start(3, ENDLESS, false);
+    let mut program = with_three_places(&agent);
+    program.signal("TERM");
+    program.wait_for_log("leaving");
+    let (busy, waiting) = more_callers_than_places(&program, &agent);
+    program.wait_for_log("takes no new connections");
+    for mut stream in busy.into_iter().chain(waiting) {
+        assert!([500, 503].contains(&read_answer(&mut stream).status));
+    }
+    assert!(program.end().success());
+}
+
+#[test]
+fn what_waits_in_the_backlog_of_an_old_process_in_an_upgrade_is_answered_by_the_new_one() {
+    let old_agent = Agent::start(3, ENDLESS, false);
+    let new_agent = Agent::start(3, Duration::from_millis(5), false);
+    let mut old = with_three_places(&old_agent);
+    let (busy, waiting) = more_callers_than_places(&old, &old_agent);
+    let new = old.successor(&old_agent, &new_agent);
+    old.signal("TERM");
+    for mut stream in busy {
+        assert_eq!(read_answer(&mut stream).status, 500, "its run ends in the old process, which has none");
+    }
+    for mut stream in waiting {
+        assert_eq!(read_answer(&mut stream).body, b"made:waiting");
+    }
+    assert!(old.end().success());
+    assert_eq!(exchange(new.http, &Ask::new("queue-status", b"new").http()).body, b"made:new");
+}
+
+#[test]
+fn a_caller_that_does_not_read_holds_up_no_end_and_finds_its_answer_later() {
+    let agent = Agent::start(1, Duration::from_millis(5), false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut slow = send(&program, &Ask::new("queue-status", &[7; 2048]));
+    wait_for("its answer", || program.counter("served") == 1);
+    program.signal("TERM");
+    assert!(program.end().success());
+    assert_eq!(read_answer(&mut slow).body, [&b"made:"[..], &[7; 2048]].concat());
+    assert!(is_closed(&mut slow));
+}
+
+#[test]
+fn clients_that_fill_the_descriptors_keep_out_no_request_no_call_and_no_operator() {
+    let agent = Agent::start(2, Duration::from_millis(5), true);
+    let sockets = 64;
+    let setup = Setup {
+        sockets: Some(sockets),
+        vault: Some(vault()),
+        agent: Some(agent.address),
+        ..Setup::default()
+    };
+    let program = Program::start(setup);
+    program.limit_descriptors(sockets);
+    let mut silent: Vec<_> = (0..150).map(|_| connect(program.http)).collect();
+    for stream in silent.iter_mut().step_by(2) {
+        let _ = stream.write_all(b"POST /do/");
+    }
+    for n in 0..20 {
+        let ask = Ask { patience_ms: 3000, ..Ask::keyed(&format!("key {n}"), b"x") };
+        assert_eq!(exchange(program.http, &ask.http()).body, b"made:xreply:x");
+        let check = exchange(program.http, b"GET /check HTTP/1.1\r\nConnection: close\r\n\r\n");
+        assert_eq!(check.status, 200);
+        assert_eq!(program.call("GET", "/ready"), 200);
+        assert!(program.descriptors() <= sockets, "{}", program.descriptors());
+    }
+    assert!(!program.log().contains("accept:"), "{}", program.log());
+}
