Have the table full as the listener closes, and start scripted links in one place

The tests of marks fail where any number counts (launch repeated; next command about the same request). tests/program/links.rs and closing.rs repeated their set-up (seven and six times): `linked`, `two_runs`, `with_agent`.

--- a/tests/program/closing.rs
+++ b/tests/program/closing.rs
@@ -24,6 +24,19 @@
     stream.take_error().unwrap().is_some()
 }
 
+fn with_agent(agent: &Agent) -> Program {
+    Program::start(Setup { agent: Some(agent.address), ..Setup::default() })
+}
+
+/// A program with one request that runs and takes longer than any drain, and its caller.
+fn with_an_endless_run() -> (Program, TcpStream) {
+    let agent = Agent::start(1, ENDLESS, false);
+    let program = with_agent(&agent);
+    let caller = send(&program, &Ask { patience_ms: 10_000, ..Ask::new("queue-status", b"open") });
+    wait_for("the launch", || agent.launches().len() == 1);
+    (program, caller)
+}
+
 fn send(program: &Program, ask: &Ask) -> TcpStream {
     let mut stream = connect(program.http);
     stream.write_all(&ask.http()).unwrap();
@@ -33,10 +46,7 @@
 #[test]
 fn whoever_connects_during_a_drain_is_answered_or_refused() {
     // Guards against connections that wait in the backlog of a listener from which nobody accepts any more.
-    let agent = Agent::start(1, ENDLESS, false);
-    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
-    let mut open = send(&program, &Ask { patience_ms: 10_000, ..Ask::new("queue-status", b"open") });
-    wait_for("the launch", || agent.launches().len() == 1);
+    let (mut program, mut open) = with_an_endless_run();
     program.signal("TERM");
     let mut answered = 0;
     let refused = loop {
@@ -61,7 +71,7 @@
 #[test]
 fn a_request_that_is_half_there_as_the_listener_closes_is_still_answered_whole() {
     let agent = Agent::start(1, ENDLESS, false);
-    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut program = with_agent(&agent);
     let request = Ask::new("queue-status", b"two pieces").http();
     let (first, second) = request.split_at(request.len() / 2);
     let mut stream = connect(program.http);
@@ -124,7 +134,7 @@
 fn what_is_turned_down_in_the_middle_is_read_to_its_end_before_the_close() {
     // Guards against a close over unread bytes, which resets the connection and may overtake the answer.
     let agent = Agent::start(1, ENDLESS, false);
-    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let program = with_agent(&agent);
     let mut stream = connect(program.http);
     stream.write_all(&Ask::new("queue-status", &[0; 400_000]).http()).unwrap();
     let answer = read_answer(&mut stream);
@@ -137,7 +147,7 @@
 #[test]
 fn an_idle_connection_is_closed_without_a_reset_of_what_crosses_the_close() {
     let agent = Agent::start(1, ENDLESS, false);
-    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut program = with_agent(&agent);
     let mut idle = connect(program.http);
     idle.write_all(CHECK).unwrap();
     assert_eq!(read_answer(&mut idle).status, 200);
@@ -154,10 +164,7 @@
 #[test]
 fn callers_that_keep_their_side_open_do_not_hold_up_the_end_past_the_stop() {
     // Guards against answers given just before the stop, each waiting for a caller to close as long as there is left.
-    let agent = Agent::start(1, ENDLESS, false);
-    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
-    let mut open = send(&program, &Ask { patience_ms: 10_000, ..Ask::new("queue-status", b"open") });
-    wait_for("the launch", || agent.launches().len() == 1);
+    let (mut program, mut open) = with_an_endless_run();
     let signalled = Instant::now();
     program.signal("TERM");
     assert_eq!(read_answer(&mut open).status, 500);
@@ -165,13 +172,17 @@
     assert!(signalled.elapsed() < STOP, "{:?}", signalled.elapsed());
 }
 
-/// Three callers that take all places until their requests fall due, one more that has been accepted, and two in the
-/// backlog behind it.
-fn more_callers_than_places(program: &Program, agent: &Agent) -> (Vec<TcpStream>, Vec<TcpStream>) {
-    let busy = Ask { patience_ms: 1500, ..Ask::new("queue-status", b"busy") };
+/// Three callers that take all places for so long as `busy_ms`, until their requests fall due; one more that has been
+/// accepted, and two in the backlog behind it.
+fn more_callers_than_places(
+    program: &Program,
+    agent: &Agent,
+    busy_ms: u64,
+) -> (Vec<TcpStream>, Vec<TcpStream>) {
+    let busy = Ask { patience_ms: busy_ms, ..Ask::new("queue-status", b"busy") };
     let busy = (0..3).map(|_| send(program, &busy)).collect();
     wait_for("the requests", || program.counter("taken_in") == 3);
-    assert!(!agent.launches().is_empty());
+    wait_for("a launch", || !agent.launches().is_empty());
     let waiting = Ask { patience_ms: 6000, ..Ask::new("queue-status", b"waiting") };
     let waiting = (0..3).map(|_| send(program, &waiting)).collect();
     (busy, waiting)
@@ -184,7 +195,8 @@
     let mut program = with_three_places(&agent);
     program.signal("TERM");
     program.wait_for_log("leaving");
-    let (busy, waiting) = more_callers_than_places(&program, &agent);
+    // Longer than the grace, within which room would be found for all of them.
+    let (busy, waiting) = more_callers_than_places(&program, &agent, 2500);
     program.wait_for_log("takes no new connections");
     for mut stream in busy.into_iter().chain(waiting) {
         assert!([500, 503].contains(&read_answer(&mut stream).status));
@@ -197,7 +209,7 @@
     let old_agent = Agent::start(3, ENDLESS, false);
     let new_agent = Agent::start(3, Duration::from_millis(5), false);
     let mut old = with_three_places(&old_agent);
-    let (busy, waiting) = more_callers_than_places(&old, &old_agent);
+    let (busy, waiting) = more_callers_than_places(&old, &old_agent, 1500);
     let new = old.successor(&old_agent, &new_agent);
     old.signal("TERM");
     for mut stream in busy {
@@ -213,7 +225,7 @@
 #[test]
 fn a_caller_that_does_not_read_holds_up_no_end_and_finds_its_answer_later() {
     let agent = Agent::start(1, Duration::from_millis(5), false);
-    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut program = with_agent(&agent);
     let mut slow = send(&program, &Ask::new("queue-status", &[7; 2048]));
     wait_for("its answer", || program.counter("served") == 1);
     program.signal("TERM");
--- a/tests/program/links.rs
+++ b/tests/program/links.rs
@@ -1,14 +1,14 @@
 //! The links to agent, service below and control plane, broken, moved or silent at the wrong moment.
 
 use std::io::Write;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use hopwalk::net::control::{encode, Reporter};
 use rstest::rstest;
 
-use crate::scripted::{outcome, Listener, Silent};
+use crate::scripted::{outcome, Listener, Peer, Silent};
 use crate::stand_in::*;
 
 const QUICK: Duration = Duration::from_millis(5);
@@ -17,25 +17,37 @@
     Program::start(Setup { agent: Some(agent.address), vault, ..Setup::default() })
 }
 
-fn moved(from: SocketAddr, to: SocketAddr) -> (String, String) {
-    (from.to_string(), to.to_string())
-}
-
-// ---- The agent --------------------------------------------------------------------------------------
-
-#[test]
-fn half_a_notice_at_the_end_of_a_link_is_told_again_and_taken_once() {
-    // Guards against an outcome lost, or taken twice, with a link that breaks in the middle of its line.
+/// A program with a link to a scripted agent, on which nothing is in doubt.
+fn linked() -> (Listener, Program, Peer) {
     let agent = Listener::start();
     let program = start(&agent, None);
     let mut link = agent.link();
     link.sync();
+    (agent, program, link)
+}
+
+/// Two requests that run, each on a connection of its own, and the handles of their runs.
+fn two_runs(program: &Program, link: &mut Peer) -> ([TcpStream; 2], Vec<String>) {
     let mut streams = [connect(program.http), connect(program.http)];
     let mut handles = Vec::new();
     for stream in &mut streams {
         stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
         handles.push(link.expect("launch").handle);
     }
+    (streams, handles)
+}
+
+fn moved(from: SocketAddr, to: SocketAddr) -> (String, String) {
+    (from.to_string(), to.to_string())
+}
+
+// ---- The agent --------------------------------------------------------------------------------------
+
+#[test]
+fn half_a_notice_at_the_end_of_a_link_is_told_again_and_taken_once() {
+    // Guards against an outcome lost, or taken twice, with a link that breaks in the middle of its line.
+    let (agent, program, mut link) = linked();
+    let (mut streams, handles) = two_runs(&program, &mut link);
     let last = outcome(2, &handles[1], "complete", b"two");
     link.write([&outcome(1, &handles[0], "complete", b"one")[..], &last[..last.len() - 1]].concat());
     assert_eq!(read_answer(&mut streams[0]).body, b"one");
@@ -51,10 +63,7 @@
 #[test]
 fn a_launch_that_got_lost_with_its_link_is_made_on_the_next_one() {
     // The link breaks before the agent read the command, or half of it.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
+    let (agent, program, link) = linked();
     let mut stream = connect(program.http);
     stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
     wait_for("the launch", || program.counter("launched") == 1);
@@ -96,10 +105,7 @@
 fn a_mark_of_before_the_pause_is_no_proof_that_a_launch_was_lost() {
     // Guards against a second run: the mark that an earlier question brought, told late, was taken for the answer to the
     // one behind the pause.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
+    let (agent, program, mut link) = linked();
     let mut stream = connect(program.http);
     stream.write_all(&Ask::keyed("k", b"a").http()).unwrap();
     let handle = link.expect("launch").handle;
@@ -173,16 +179,8 @@
 #[test]
 fn a_notice_that_can_never_be_read_keeps_back_none_that_follow() {
     // Guards against a link that is made anew for ever because of one notice that the agent keeps and repeats.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
-    let mut streams = [connect(program.http), connect(program.http)];
-    let mut handles = Vec::new();
-    for stream in &mut streams {
-        stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
-        handles.push(link.expect("launch").handle);
-    }
+    let (agent, program, mut link) = linked();
+    let (mut streams, handles) = two_runs(&program, &mut link);
     let spoilt = outcome(1, &handles[0], "no such fate", b"one");
     let kept = spoilt + &outcome(2, &handles[1], "complete", b"two");
     link.write(&kept);
@@ -198,10 +196,7 @@
 #[test]
 fn notices_of_runs_that_are_not_there_harm_nothing() {
     // An outcome twice, of a request that was answered, of one that nobody sent, and a call of such a one.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
+    let (_agent, program, mut link) = linked();
     let mut stream = connect(program.http);
     stream.write_all(&Ask { patience_ms: 200, ..Ask::keyed("k", b"a") }.http()).unwrap();
     let handle = link.expect("launch").handle;
@@ -244,10 +239,7 @@
 #[test]
 fn a_link_that_breaks_when_there_are_no_descriptors_comes_back_once_there_are() {
     // Guards against a link, reports or answers that end for good because a descriptor was lacking once.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
+    let (agent, program, link) = linked();
     let mut stream = connect(program.http);
     stream.write_all(b"GET /check HTTP/1.1\r\nHost: t\r\n\r\n").unwrap();
     assert_eq!(read_answer(&mut stream).status, 200);
@@ -308,10 +300,7 @@
 #[test]
 fn what_is_said_while_there_is_no_link_does_not_grow() {
     // Guards against an order to stop each answered run, twenty times a second, that all wait for the next link.
-    let agent = Listener::start();
-    let program = start(&agent, None);
-    let mut link = agent.link();
-    link.sync();
+    let (agent, program, mut link) = linked();
     let mut streams: Vec<_> = (0..4).map(|_| connect(program.http)).collect();
     for stream in &mut streams {
         stream.write_all(&Ask { patience_ms: 1500, ..Ask::new("queue-status", b"a") }.http()).unwrap();
