Say nothing again that may have been heard, and tell losses of the link before the next one

Cause: 'say_again' took a pause that did not come for proof that a reply, or a launch of what must run once, was not heard. A pause stops only work on a core; a run that waits for its disk shows none. So a reply reached the run's next call (a body changed on its way), a launch was written twice, and a run that was paused as a test was forgotten when the next link broke too. Ruled out as proof, and used no more: the pause, 200 ms of silence. Proof are a notice about the run, an acknowledgement (a question for the gauges with a ticket of its own, one at a time) over the same link, and that the link never wrote the command. Change: core/delivery owns what was said, over which link, and what is done without proof: reads are launched again, what must run once is waited for up to its due time while its slot is free, a reply in doubt becomes 'forgo' of the call it names where the class may be answered without, else a failure at once. What was never written is said on the next link if its request is still open. One place says commands, counts and withholds violations. ETIMEDOUT of the system is a broken connection, not a wait that is over. The log names what ended a link, its age, the last command about a run, and each command settled. Tests that were wrong: a_reply_in_doubt_reaches_its_run, a_launch_that_got_lost..., a_mark_of_before_the_pause..., and those of core/lost_link that asked for the pause and the repeat, held the program to the unsound step; each has one in its place that forbids it for heard and lost alike. The last line of a_link_that_breaks_when_there_are_no_descriptors... asked for a launch of a request that had been answered; it asks for the next one now. The fuzz world checks that each reply reaches its own call.

--- a/fuzz/src/targets/mod.rs
+++ b/fuzz/src/targets/mod.rs
@@ -144,7 +144,7 @@
     Target {
         name: "notices",
         about: "the agent's notices: pieces, doubles, asides, and half lines at a break",
-        files: &["src/net/agent.rs", "src/net/lines.rs", "src/json.rs"],
+        files: &["src/net/agent/wire.rs", "src/net/agent/reader.rs", "src/net/lines.rs", "src/json.rs"],
         most_len: 1024,
         words: NOTICE_WORDS,
         run: codecs::notices,
--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -30,14 +30,22 @@
         match self.live.get(&id).map(|l| l.phase) {
             Some(Phase::Held | Phase::Joined) => self.remove(now, id, None),
             Some(Phase::AtCall) => self.give_up_call(id),
-            // A launch that may have got lost: no notice would ever free its slot.
-            Some(Phase::Running) if self.live.get(&id).is_some_and(|l| l.doubtful) => {
-                self.run_ended(now, id, End::Broken, None, None);
-            }
+            Some(Phase::Running) => self.end_lost_launch(now, id),
             _ => {}
         }
     }
 
+    /// Ends a run of which perhaps no notice would ever tell, as its launch did not reach the agent.
+    fn end_lost_launch(&mut self, now: Duration, id: RequestId) {
+        let pending = self.live.get(&id).and_then(|live| live.pending.as_ref());
+        let Some(launch) = pending.filter(|pending| pending.is_launch()) else { return };
+        if launch.is_unsent() {
+            self.run_ended(now, id, End::Unknown, None, None);
+        } else if launch.is_in_doubt() {
+            self.run_ended(now, id, End::Broken, None, None);
+        }
+    }
+
     pub(super) fn join(&mut self, now: Duration, id: RequestId) {
         let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::Held) else { return };
         (live.phase, live.began) = (Phase::Joined, now);
--- a/src/core/arrivals.rs
+++ b/src/core/arrivals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::types::*;
-use super::{keys, Core, Live, Phase, Timer, OVERDUE};
+use super::{keys, Core, Live, Phase, Said, Timer, OVERDUE};
 use crate::interface::{Arrival, Event, Repeat};
 
 /// Callers that the module tells apart: it keeps notes on each, whatever numbers are sent.
@@ -77,9 +77,9 @@
             call: (0, Bytes::from([]), 0),
             call_began: None,
             route,
-            unheard: None,
-            doubtful: false,
-            tested: false,
+            pending: None,
+            said: Said::default(),
+            is_orphan: false,
         };
         self.live.insert(id, live);
         self.arm(due.max(now) + OVERDUE, Timer::Due(id));
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -37,9 +37,7 @@
         let outcome = match (end.outcome(), reply) {
             (Outcome::Done, Some(arg)) => {
                 live.phase = Phase::Running;
-                let command = Command::Deliver { handle, arg };
-                (live.unheard, live.doubtful) = (Some(command.clone()), false);
-                self.effects.push(Effect::Agent(command));
+                self.say_of(id, Command::Deliver { handle, arg });
                 Outcome::Done
             }
             (Outcome::Done, None) => Outcome::Error,
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -41,10 +41,16 @@
     pub calls_skipped: u64,
     /// Links to the agent that broke.
     pub links_lost: u64,
-    /// Launches with a key that were in doubt after a broken link, and repeated once no run of them had ended.
-    pub launches_repeated: u64,
-    /// Such launches whose run had begun.
-    pub launches_found: u64,
+    /// Commands in doubt after a broken link that were said again, as that does no harm.
+    pub commands_repeated: u64,
+    /// Runs that perhaps never began, as their launch was in doubt and must not be repeated.
+    pub runs_orphaned: u64,
+    /// Replies in doubt in whose place the run was told to go on without its call.
+    pub replies_skipped: u64,
+    /// Replies in doubt whose requests were failed.
+    pub replies_failed: u64,
+    /// Commands that were not said as a rule forbids them, and answers that would have been a second one.
+    pub violations: u64,
     /// Commands that the agent did not carry out.
     pub agent_refusals: u64,
     /// Gauges that came too late for their timer.
@@ -87,8 +93,11 @@
             ("calls_made", self.calls_made),
             ("calls_skipped", self.calls_skipped),
             ("links_lost", self.links_lost),
-            ("launches_repeated", self.launches_repeated),
-            ("launches_found", self.launches_found),
+            ("commands_repeated", self.commands_repeated),
+            ("runs_orphaned", self.runs_orphaned),
+            ("replies_skipped", self.replies_skipped),
+            ("replies_failed", self.replies_failed),
+            ("violations", self.violations),
             ("agent_refusals", self.agent_refusals),
             ("late_samples", self.late_samples),
         ];
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod arrivals;
 mod calls;
 mod counters;
+mod delivery;
 mod end;
 mod error;
 pub mod keys;
@@ -27,6 +28,7 @@
 use crate::settings::Site;
 
 pub use counters::Counters;
+use delivery::{LinkState, Outbox, Pending, Said};
 pub use end::End;
 pub use error::CoreError;
 use keys::Keys;
@@ -88,12 +90,12 @@
     call_began: Option<Duration>,
     /// What its route depends on, where the fleet routes calls.
     route: Option<Box<routed::Subject>>,
-    /// The last word to the agent about this run, until a notice shows that it was heard.
-    unheard: Option<Command>,
-    /// The link broke after that word was sent: nobody knows whether it arrived.
-    doubtful: bool,
-    /// The run that may have begun was told to stop for a moment: a notice that it did proves that it had.
-    tested: bool,
+    /// The last command about this run, until something shows that it was heard.
+    pending: Option<Pending>,
+    /// What was said about it so far.
+    said: Said,
+    /// Its launch is in doubt for good, and the module was told that it is over.
+    is_orphan: bool,
 }
 
 /// The reducer's state.
@@ -114,10 +116,7 @@
     waiting_ticks: Vec<u64>,
     gauges: (Duration, Gauges),
     greeted: bool,
-    /// The number of the last [`Command::Sync`].
-    sync: u64,
-    link_up: bool,
-    lost_at: Duration,
+    outbox: Outbox,
     /// Classes that the site has no more, and until when requests of them are taken.
     served_until: BTreeMap<usize, Duration>,
     partner: succession::Partner,
@@ -159,9 +158,7 @@
             waiting_ticks: Vec::new(),
             gauges: (Duration::ZERO, Gauges::default()),
             greeted: false,
-            sync: 0,
-            link_up: false,
-            lost_at: Duration::ZERO,
+            outbox: Outbox::default(),
             served_until: BTreeMap::new(),
             partner: succession::Partner::default(),
             ways: None,
@@ -205,6 +202,7 @@
         self.brain.decide(now, &mut actions);
         self.settle_events(now, &mut actions);
         self.leave_when_done();
+        self.ask_for_acknowledgement();
         let listed = self.takes_callers() && (self.drain.is_none() || self.partner.yields);
         if std::mem::replace(&mut self.listed, listed) != listed {
             self.effects.push(Effect::List(listed));
@@ -295,7 +293,7 @@
             ("healthy", yes_no(self.healthy)),
             ("kept_away", yes_no(self.standby)),
             ("leaving", yes_no(self.drain.is_some())),
-            ("linked", yes_no(self.link_up)),
+            ("linked", yes_no(self.outbox.link == LinkState::Up)),
             ("unanswered", self.open.to_string()),
             ("held", in_phase(Phase::Held)),
             ("running", in_phase(Phase::Running)),
@@ -318,8 +316,8 @@
             Timer::Module(token) => {
                 self.waiting_ticks.push(token);
                 self.ticket += 1;
-                if self.link_up {
-                    self.effects.push(Effect::Agent(Command::Sample { ticket: self.ticket }));
+                if self.outbox.link == LinkState::Up {
+                    self.say(Command::Sample { ticket: self.ticket });
                     self.arm(now + SAMPLE_PATIENCE, Timer::SampleLate(self.ticket));
                 } else {
                     self.tick_without_sample(now);
@@ -406,9 +404,8 @@
                 let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::AtCall) else { return };
                 live.phase = Phase::Running;
                 let command = Command::Forgo { handle: live.handle, cursor: live.call.0 };
-                (live.unheard, live.doubtful) = (Some(command.clone()), false);
                 self.counters.calls_skipped += 1;
-                self.effects.push(Effect::Agent(command));
+                self.say_of(id, command);
             }
             Action::Join(id) => self.join(now, id),
             Action::Remember { id, lifetime } => {
--- a/src/core/routed.rs
+++ b/src/core/routed.rs
@@ -48,6 +48,11 @@
 }
 
 impl Subject {
+    /// Its route lets its request be answered without a call.
+    pub(super) fn allows_skipping(&self) -> bool {
+        self.allowed.is_none_or(|allowed| allowed.without)
+    }
+
     /// For a call of its request, which is of this class.
     pub(super) fn call(&self, class: &str) -> Call {
         Call {
@@ -143,6 +148,12 @@
         }
     }
 
+    /// How the calls of a class stand.
+    pub(super) fn way_of(&self, class: usize) -> Way {
+        let stand = self.ways.as_ref().and_then(|ways| ways.stand.get(&self.site.class_names[class]));
+        stand.copied().unwrap_or_default()
+    }
+
     /// Tells the module how the calls of its classes stand, where the fleet routes them.
     pub(super) fn tell_ways(&mut self) {
         let Some(ways) = &self.ways else { return };
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -1,24 +1,20 @@
-//! Runs at the agent: how they begin, what its notices say of them, and what a broken link leaves in doubt.
+//! Runs at the agent: how they begin and end, and what its notices say of them.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::types::*;
-use super::{Core, End, Phase, Timer};
+use super::{Core, End, Pending, Phase, Timer};
 use crate::brain::Brain;
-use crate::interface::{Event, Gauges, Outcome, Preemption, Repeat, RequestId};
+use crate::interface::{Event, Gauges, Outcome, Preemption, RequestId};
 
 /// This long after its due time a run of an answered request is taken to be lost.
 const RUN_LOST: Duration = Duration::from_secs(60);
-/// A break of the agent's link loses what was said in its last 50 ms, and is noticed a little late. A launch before
-/// that did arrive: there is nothing to be gained by repeating it, and a run of it could end at any moment.
-const LOST_WITHIN: Duration = Duration::from_millis(200);
 
 impl Core {
     pub(super) fn agent(&mut self, now: Duration, notice: Notice) {
         match notice {
             Notice::Greeting { cold, lasted } => {
-                self.link_up = true;
                 self.effects.push(Effect::Ready);
                 // The module's life begins with the agent's: it is told then how warm the machine is.
                 if !std::mem::replace(&mut self.greeted, true) && self.live.is_empty() && self.drain.is_none()
@@ -32,18 +28,13 @@
                         self.timers.retain(|Reverse((_, t))| !matches!(t, Timer::Module(_)));
                     }
                 }
-                // Everything told since the last link comes before the answer to this.
-                self.ask_for_sync();
-            }
-            Notice::Lost(_) => {
-                (self.link_up, self.lost_at) = (false, now);
-                self.counters.links_lost += 1;
-                // What is said from now on waits for the next link, and is not in doubt.
-                self.live.values_mut().for_each(|l| (l.doubtful, l.tested) = (l.unheard.is_some(), false));
+                self.link_greeted(now);
             }
+            Notice::Lost { end, written } => self.link_lost(end, written),
             // An earlier one proves nothing of what was said since: it may come late, over a link that broke at once.
-            Notice::Synced(number) if number == self.sync => self.say_again(now),
+            Notice::Synced(number) if number == self.last_sync() => self.recover(now),
             Notice::Synced(_) => {}
+            Notice::Acknowledged(number) => self.acknowledged(number),
             Notice::Sampled { ticket, figures } => {
                 let mut gauges = Gauges::default();
                 for (name, figure) in self.site.gauges.iter().zip(figures) {
@@ -62,17 +53,18 @@
             }
             Notice::Outcome { handle, end, lasted, result } => {
                 let Some(&id) = self.handles.get(&handle) else { return };
-                if end == End::Cancelled && self.goes_on(id) {
-                    return;
-                }
                 self.run_ended(now, id, end, lasted, result);
             }
             Notice::CallNeeded { handle, cursor, body } => {
                 let Some(&id) = self.handles.get(&handle) else { return };
                 let Some(live) = self.live.get_mut(&id) else { return };
-                (live.unheard, live.doubtful, live.tested) = (None, false, false);
+                live.pending = None;
+                live.said.call_needed();
                 live.phase = Phase::AtCall;
                 live.call = (cursor, body, live.call.2);
+                if live.is_orphan {
+                    return self.orphan_calls(now, id, cursor);
+                }
                 self.allow(id);
                 self.events.push_back(Event::CallNeeded { id });
             }
@@ -117,10 +109,9 @@
         }
         let Some(live) = self.live.get_mut(&id) else { return };
         (live.phase, live.began) = (Phase::Running, now);
-        (live.unheard, live.doubtful) = (Some(command.clone()), false);
         let lost = live.due + RUN_LOST;
         self.arm(lost, Timer::RunLost(id));
-        self.effects.push(Effect::Agent(command));
+        self.say_of(id, command);
     }
 
     pub(super) fn preempt(&mut self, id: RequestId) {
@@ -128,69 +119,19 @@
         if self.site.settings.preemption != Preemption::Off {
             let command = Command::Freeze { handle: live.handle };
             // An answered run that is stopped ends, and is not paused.
-            if live.conn.is_some() {
+            if live.conn.is_none() {
+                self.say(command);
+                return;
+            }
+            // A run that perhaps did not begin is not paused: nothing would show whether it was.
+            let is_doubtful = |pending: &Pending| pending.is_unsent() || pending.is_in_doubt();
+            if !live.pending.as_ref().is_some_and(is_doubtful) {
                 live.phase = Phase::Paused;
-                (live.unheard, live.doubtful) = (Some(command.clone()), false);
+                self.say_of(id, command);
             }
-            self.effects.push(Effect::Agent(command));
         }
     }
 
-    /// After a link broke, nobody knows which of the last commands arrived. Repeating them does no harm to
-    /// what may run again. Others are repeated only with proof that they were not heard: a launch of what must not
-    /// run twice, whose run may have ended just now, unseen; and a reply, which names no call: the run may have gone
-    /// on to its next one just now, and would take it for that one's. No notice up to here shows either; so the run
-    /// is told to pause, and once everything up to the second [`Notice::Synced`] was told, either it ended or called,
-    /// or it goes on, or it heard nothing, and the command is repeated or does nothing. Where runs cannot be paused
-    /// there is no proof, and the caller gets a failure.
-    fn say_again(&mut self, now: Duration) {
-        let (mut again, mut over) = (Vec::new(), Vec::new());
-        let pauses = self.site.settings.preemption == Preemption::Pause;
-        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.doubtful) {
-            let runs_once = self.site.settings.classes[live.class].repeat != Repeat::Idempotent;
-            let launch_once = runs_once && matches!(live.unheard, Some(Command::Launch { .. }));
-            let reply = matches!(live.unheard, Some(Command::Deliver { .. }));
-            if launch_once && live.conn.is_none() {
-                over.push(*id);
-            } else if (launch_once || reply) && !live.tested {
-                let may_be_lost = reply || self.lost_at.saturating_sub(live.began) <= LOST_WITHIN;
-                live.tested = pauses && may_be_lost;
-                again.extend(live.tested.then_some((*id, Command::Freeze { handle: live.handle })));
-            } else {
-                self.counters.launches_repeated += u64::from(live.tested && launch_once);
-                (live.doubtful, live.tested) = (false, false);
-                again.extend(live.unheard.clone().map(|command| (*id, command)));
-            }
-        }
-        again.sort_by_key(|(id, _)| *id);
-        let tests = self.live.values().any(|l| l.tested);
-        self.effects.extend(again.into_iter().map(|(_, command)| Effect::Agent(command)));
-        if tests {
-            self.ask_for_sync();
-        }
-        // Answered, and perhaps never begun: no notice would ever free the slot. The key stays taken.
-        over.sort_unstable();
-        over.into_iter().for_each(|id| self.run_ended(now, id, End::Broken, None, None));
-    }
-
-    /// Asks for a mark in the notices, behind all that the agent tells before it reads this.
-    fn ask_for_sync(&mut self) {
-        self.sync += 1;
-        self.effects.push(Effect::Agent(Command::Sync(self.sync)));
-    }
-
-    /// A run that paused as a test of whether it had begun goes on.
-    fn goes_on(&mut self, id: RequestId) -> bool {
-        let Some(live) = self.live.get_mut(&id).filter(|l| l.tested && l.conn.is_some()) else {
-            return false;
-        };
-        let command = Command::Thaw { handle: live.handle };
-        (live.unheard, live.doubtful, live.tested) = (Some(command.clone()), false, false);
-        self.counters.launches_found += 1;
-        self.effects.push(Effect::Agent(command));
-        true
-    }
-
     pub(super) fn run_ended(
         &mut self,
         now: Duration,
@@ -203,6 +144,7 @@
         if matches!(live.phase, Phase::Held | Phase::Joined) {
             return; // Not running as far as we know: nothing of ours ended.
         }
+        let is_orphan = live.is_orphan;
         let outcome = end.outcome();
         let took = lasted.unwrap_or(now.saturating_sub(live.began));
         let served = result.filter(|_| outcome == Outcome::Done);
@@ -221,7 +163,9 @@
             _ => Verdict::Failed,
         };
         self.settle(now, id, verdict);
-        self.events.push_back(Event::Finished { id, outcome, took });
+        if !is_orphan {
+            self.events.push_back(Event::Finished { id, outcome, took });
+        }
         self.remove(now, id, served);
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -215,9 +215,17 @@
         lasted: Duration,
     },
     /// The link broke.
-    Lost(End),
+    Lost {
+        /// How it ended.
+        end: End,
+        /// Commands up to this number, counted from the first one, were written on it or on an earlier one, or may
+        /// have been. Later ones were not, and are dropped up to [`Command::Resume`].
+        written: u64,
+    },
     /// Everything told before the [`Command::Sync`] of this number was read.
     Synced(u64),
+    /// Everything said on this link before the [`Command::Acknowledge`] of this number was heard.
+    Acknowledged(u64),
     /// The gauges.
     Sampled {
         /// The ticket that asked for them.
@@ -299,6 +307,24 @@
     },
     /// Answer once everything before is told.
     Sync(u64),
+    /// Answer once everything said before was heard.
+    Acknowledge(u64),
+    /// Not for the agent: [`Notice::Lost`] was read, and what is said from here on is meant for the next link.
+    Resume,
+}
+
+impl Command {
+    /// The run that it is about, and its name on the wire.
+    pub fn about(&self) -> Option<(&'static str, Handle)> {
+        match self {
+            Self::Launch { handle, .. } => Some(("launch", *handle)),
+            Self::Freeze { handle } => Some(("freeze", *handle)),
+            Self::Thaw { handle } => Some(("thaw", *handle)),
+            Self::Deliver { handle, .. } => Some(("deliver", *handle)),
+            Self::Forgo { handle, .. } => Some(("forgo", *handle)),
+            Self::Sample { .. } | Self::Sync(_) | Self::Acknowledge(_) | Self::Resume => None,
+        }
+    }
 }
 
 /// What a caller is told.
--- /dev/null
+++ b/src/net/agent/wire.rs
@@ -0,0 +1,136 @@
+//! The lines of the link to the agent: commands and notices as JSON.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use tinyjson::JsonValue;
+
+use crate::core::{Command, End, Notice};
+use crate::json;
+use crate::net::error::NoticeError;
+
+/// The ticket of a sample that only marks a place in the notices; its number follows.
+const SYNC_TICKET: &str = "sync-";
+/// The ticket of a sample that only marks a place in the commands; its number follows.
+const ACKNOWLEDGE_TICKET: &str = "ack-";
+/// The ticket of the last sample on a link that is about to move, and the number that stands for it.
+pub(super) const MOVE_TICKET: &str = "move";
+pub(super) const MOVE: u64 = u64::MAX;
+
+/// A run that lasted longer is a mistake, and would overflow sums of times later.
+const LONGEST_RUN: Duration = Duration::from_secs(86_400);
+/// The same for the agent itself, which may be up for a year.
+const LONGEST_LIFE: Duration = Duration::from_secs(366 * 86_400);
+/// Whole numbers below this are exact in JSON.
+const MOST_CURSOR: f64 = 9_007_199_254_740_992.0;
+
+/// Appends a question for the gauges under a ticket.
+pub(super) fn encode_sample(ticket: &str, out: &mut String) {
+    out.push_str(&format!("{{\"event\":\"sample\",\"ticket\":\"{ticket}\"}}\n"));
+}
+
+/// Appends a command as a line.
+pub fn encode(command: &Command, out: &mut String) {
+    let line = match command {
+        Command::Launch { handle, class, arg, .. } => {
+            let entry = JsonValue::String(class.to_string());
+            let entry = entry.stringify().unwrap_or_default();
+            let arg = BASE64.encode(arg);
+            format!(r#"{{"event":"launch","handle":"{handle}","entry":{entry},"arg":"{arg}"}}"#)
+        }
+        Command::Freeze { handle } => format!(r#"{{"event":"freeze","handle":"{handle}"}}"#),
+        Command::Thaw { handle } => format!(r#"{{"event":"thaw","handle":"{handle}"}}"#),
+        Command::Deliver { handle, arg } => {
+            format!(r#"{{"event":"deliver","handle":"{handle}","arg":"{}"}}"#, BASE64.encode(arg))
+        }
+        Command::Forgo { handle, cursor } => {
+            format!(r#"{{"event":"forgo","handle":"{handle}","cursor":{cursor}}}"#)
+        }
+        Command::Sample { ticket } => format!(r#"{{"event":"sample","ticket":"{ticket}"}}"#),
+        Command::Sync(number) => format!(r#"{{"event":"sample","ticket":"{SYNC_TICKET}{number}"}}"#),
+        Command::Acknowledge(number) => {
+            format!(r#"{{"event":"sample","ticket":"{ACKNOWLEDGE_TICKET}{number}"}}"#)
+        }
+        // A word between the reducer and the link, of which the agent hears nothing.
+        Command::Resume => return,
+    };
+    out.push_str(&line);
+    out.push('\n');
+}
+
+/// Reads one notice: its number, and what it tells, if that matters here.
+pub fn parse(line: &str) -> Result<(Option<u64>, Option<Notice>), NoticeError> {
+    let json = json::parse(line)?;
+    let members: &HashMap<String, JsonValue> = json.get().ok_or(NoticeError::NoObject)?;
+    let text = |key: &str| members.get(key).and_then(|v| v.get::<String>()).map(String::as_str);
+    let number = |key: &str| members.get(key).and_then(|v| v.get::<f64>()).copied();
+    let lacks = |member| NoticeError::Lacks { member };
+    let handle = || text("handle").and_then(|h| h.parse().ok()).ok_or(lacks("handle"));
+    let bytes = |member: &'static str| match text(member) {
+        Some(arg) => {
+            let read = BASE64.decode(arg).map(|b| Some(b.into()));
+            read.map_err(|said| NoticeError::NoBase64 { member, said })
+        }
+        None => Ok(None),
+    };
+    let event = text("event").ok_or(lacks("event"))?;
+    let lasted = number("lasted").and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    let longest = if event == "greeting" { LONGEST_LIFE } else { LONGEST_RUN };
+    if lasted.is_some_and(|lasted| lasted > longest) {
+        return Err(NoticeError::Lasted { days: longest.as_secs() / 86_400 });
+    }
+    // One number too high, and all that the agent tells from then on would pass as told before.
+    let is_number = |n: &f64| n.fract() == 0.0 && (1.0..MOST_CURSOR).contains(n);
+    let cursor = number("cursor").map(|n| Some(n).filter(is_number).ok_or(NoticeError::Cursor));
+    let cursor = cursor.transpose()?.map(|n| n as u64);
+    let notice = match event {
+        "greeting" => {
+            let cold = text("fate") == Some("chilly");
+            Some(Notice::Greeting { cold, lasted: lasted.unwrap_or_default() })
+        }
+        "outcome" => {
+            let end = match text("fate") {
+                Some("complete") => End::Complete,
+                Some("error") => End::Failed,
+                Some("cancelled") => End::Cancelled,
+                Some("unknown") => End::Unknown,
+                _ => return Err(NoticeError::Fate),
+            };
+            let result = bytes("arg")?.or_else(|| (end == End::Complete).then(|| Vec::new().into()));
+            Some(Notice::Outcome { handle: handle()?, end, lasted, result })
+        }
+        "request" => {
+            let body = bytes("arg")?.unwrap_or_else(|| Vec::new().into());
+            Some(Notice::CallNeeded { handle: handle()?, cursor: cursor.ok_or(lacks("cursor"))?, body })
+        }
+        "sampled" => match text("ticket").ok_or(lacks("ticket"))? {
+            MOVE_TICKET => Some(Notice::Sampled { ticket: MOVE, figures: Vec::new() }),
+            ticket => {
+                if let Some(number) = ticket.strip_prefix(SYNC_TICKET) {
+                    return Ok((cursor, number.parse().ok().map(Notice::Synced)));
+                }
+                if let Some(number) = ticket.strip_prefix(ACKNOWLEDGE_TICKET) {
+                    return Ok((cursor, number.parse().ok().map(Notice::Acknowledged)));
+                }
+                let figures = members.get("figures").and_then(|v| v.get::<Vec<JsonValue>>());
+                let figures = figures.ok_or(lacks("figures"))?;
+                let figures = figures
+                    .iter()
+                    .map(|f| f.get::<f64>().copied().filter(|f| f.is_finite()).unwrap_or(0.0))
+                    .collect();
+                Some(Notice::Sampled { ticket: ticket.parse().unwrap_or(0), figures })
+            }
+        },
+        "refusal" => {
+            let command = text("fate").unwrap_or_default().to_string();
+            match handle() {
+                Ok(handle) => Some(Notice::Refusal { command, handle }),
+                Err(_) => None,
+            }
+        }
+        _ => None,
+    };
+    Ok((cursor, notice))
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -192,8 +192,13 @@
     read
 }
 
+/// A wait of this program's own is over. A connection that the system gave up (`ETIMEDOUT`) is not one: it is broken.
 pub(super) fn is_timeout(e: &io::Error) -> bool {
-    matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
+    match e.kind() {
+        io::ErrorKind::WouldBlock => true,
+        io::ErrorKind::TimedOut => e.raw_os_error().is_none(),
+        _ => false,
+    }
 }
 
 /// Writes an answer; how the connection ends if it ends now.
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -39,6 +39,11 @@
         self.used == self.bytes.len()
     }
 
+    /// Bytes that came and were not used.
+    pub fn unread(&self) -> usize {
+        self.bytes.len() - self.used
+    }
+
     /// Bytes that were looked at or moved so far.
     pub fn work(&self) -> u64 {
         self.work
@@ -78,11 +83,22 @@
     stream: Conn,
     pub(super) lines: Lines,
     until: Option<Instant>,
+    /// Why nothing more comes, where the stream itself has ended.
+    closed: Option<Closed>,
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug)]
+enum Closed {
+    /// The other side closed it, or this one did.
+    Cleanly,
+    /// The system reported an error.
+    WithError(io::ErrorKind),
 }
 
 impl Buffer {
     pub(super) fn new(stream: Conn) -> Self {
-        Self { stream, lines: Lines::new(MOST), until: None }
+        Self { stream, lines: Lines::new(MOST), until: None, closed: None }
     }
 
     /// Waits no longer than to this time.
@@ -90,6 +106,19 @@
         self.until = Some(until);
     }
 
+    /// Why nothing more came, in words for the log.
+    pub(super) fn describe_end(&self) -> String {
+        let cut = match self.lines.unread() {
+            0 => String::new(),
+            bytes => format!(", {bytes} bytes of a line cut"),
+        };
+        match self.closed {
+            Some(Closed::Cleanly) => format!("closed by a side{cut}"),
+            Some(Closed::WithError(kind)) => format!("{kind}{cut}"),
+            None => "given up by this side".to_string(),
+        }
+    }
+
     /// Waits for more bytes.
     pub(super) fn more(&mut self) -> Result<(), End> {
         loop {
@@ -101,10 +130,16 @@
                 self.stream.set_read_patience(left);
             }
             match read_some(&mut self.stream, self.lines.room()) {
-                Ok(0) => return Err(End::Broken),
+                Ok(0) => {
+                    self.closed = Some(Closed::Cleanly);
+                    return Err(End::Broken);
+                }
                 Ok(_) => return Ok(()),
                 Err(e) if is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Err(End::Broken),
+                Err(e) => {
+                    self.closed = Some(Closed::WithError(e.kind()));
+                    return Err(End::Broken);
+                }
             }
         }
     }
--- a/tests/core/bench.rs
+++ b/tests/core/bench.rs
@@ -37,6 +37,31 @@
         self.step(at, [Input::Agent(notice)])
     }
 
+    /// The link breaks, with all that was said on it in doubt.
+    pub fn lose_link(&mut self, at: u64) -> Vec<Effect> {
+        let written = self.commands_said();
+        self.notice(at, Notice::Lost { end: End::Broken, written })
+    }
+
+    /// Commands that were said so far.
+    pub fn commands_said(&self) -> u64 {
+        self.done.iter().filter(|e| matches!(e, Effect::Agent(_))).count() as u64
+    }
+
+    /// The number of the last question whether all was heard.
+    pub fn last_acknowledge(&self) -> Option<u64> {
+        self.done.iter().rev().find_map(|effect| match effect {
+            Effect::Agent(Command::Acknowledge(number)) => Some(*number),
+            _ => None,
+        })
+    }
+
+    /// The agent has heard all that was said before the last question.
+    pub fn acknowledged(&mut self, at: u64) -> Vec<Effect> {
+        let last = self.last_acknowledge().unwrap();
+        self.notice(at, Notice::Acknowledged(last))
+    }
+
     /// The agent has told all that it had to tell when it read the last question for that.
     pub fn synced(&mut self, at: u64) -> Vec<Effect> {
         let number = |effect: &Effect| match effect {
