Step the wall clock under the program, and make its system calls fail: three tests that fail

A small C library (tests/shim/faults.c, loaded with LD_PRELOAD, steered through a mapped file) steps the wall clock and has accept, socket, connect, waits, reads, writes and syncs fail at rates; lab::shim builds and loads it. Seen on this commit: after a step back by an hour all requests fail as overdue; a keyed request that a new version takes over after a step forward is run a second time (2 launches): its window, handed over as a time of the old process's clock, is long past on the new one's. A step forward alone is borne.

--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -18,6 +18,7 @@
 pub mod scenario;
 mod scenario_error;
 pub mod services;
+pub mod shim;
 pub mod sim;
 pub mod stall;
 pub mod stand_in;
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod appliance;
 mod authority;
+mod clock;
 mod closing;
 mod corpus;
 mod customers;
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use hopwalk::lab::shim::{Faults, Shim};
 pub use hopwalk::lab::stand_in::*;
 
 /// A stand-in for an SCGI service: gives each whole request to `answer`, writes what it returns and closes.
@@ -47,6 +48,9 @@
     pub admin: SocketAddr,
     log: Arc<Mutex<String>>,
     pub control: UdpSocket,
+    /// Faults of the system under it, where it was started with them.
+    faults: Option<Faults>,
+    shim: Option<&'static Shim>,
     config: String,
     appliance: String,
     pub dir: Arc<Scratch>,
@@ -69,6 +73,8 @@
     pub sockets: Option<usize>,
     /// Time from the notice to leave to the kill.
     pub stop_ms: Option<u64>,
+    /// A library of faults of the system to load into it.
+    pub shim: Option<&'static Shim>,
 }
 
 /// A folder of a test's own, which goes when the test is done with it.
@@ -96,21 +102,22 @@
 /// Starts the program's binary on configuration texts, without waiting for it.
 pub fn spawn_program(config: &str, appliance: &str) -> (Child, Scratch) {
     let dir = Scratch::new();
-    (spawn_in(&dir, config, appliance), dir)
+    (spawn_in(&dir, config, appliance, None).0, dir)
 }
 
 /// The same in a folder that it shares with those that were started there before.
-fn spawn_in(dir: &Scratch, config: &str, appliance: &str) -> Child {
+fn spawn_in(dir: &Scratch, config: &str, appliance: &str, shim: Option<&Shim>) -> (Child, Option<Faults>) {
     let (config_file, appliance_file) = (dir.path("config.json"), dir.path("appliance.json"));
     std::fs::write(&config_file, config).unwrap();
     std::fs::write(&appliance_file, appliance).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_hopwalk"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hopwalk"));
+    command
         .env("TMPDIR", &dir.0)
         .env("RELAY_CONFIG", config_file)
         .env("RELAY_APPLIANCE", appliance_file)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap()
+        .stderr(Stdio::piped());
+    let faults = shim.map(|shim| shim.load(&mut command, &dir.path("faults")).unwrap());
+    (command.spawn().unwrap(), faults)
 }
 
 impl Program {
@@ -138,15 +145,21 @@
             address("below", setup.below),
             setup.appliance,
         );
-        let program = Self::launch(config, scgi, Arc::new(Scratch::new()), control);
+        let program = Self::launch(config, scgi, Arc::new(Scratch::new()), control, setup.shim);
         if setup.agent.is_some() {
             program.wait_for_log("linked to the agent");
         }
         program
     }
 
-    fn launch(config: String, appliance: String, dir: Arc<Scratch>, control: UdpSocket) -> Self {
-        let mut child = spawn_in(&dir, &config, &appliance);
+    fn launch(
+        config: String,
+        appliance: String,
+        dir: Arc<Scratch>,
+        control: UdpSocket,
+        shim: Option<&'static Shim>,
+    ) -> Self {
+        let (mut child, faults) = spawn_in(&dir, &config, &appliance, shim);
         let log = Arc::new(Mutex::new(String::new()));
         let (lines, logged) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
         thread::spawn(move || {
@@ -161,6 +174,8 @@
             admin: ([127, 0, 0, 1], 0).into(),
             log,
             control,
+            faults,
+            shim,
             config,
             appliance,
             dir,
@@ -179,7 +194,8 @@
         let config =
             fixed(&self.config, self.http).replace(&from.address.to_string(), &to.address.to_string());
         let control = self.control.try_clone().unwrap();
-        let program = Self::launch(config, fixed(&self.appliance, self.scgi), self.dir.clone(), control);
+        let program =
+            Self::launch(config, fixed(&self.appliance, self.scgi), self.dir.clone(), control, self.shim);
         wait_for("the handover", || program.call("GET", "/ready") == 200);
         program
     }
@@ -203,6 +219,11 @@
         exchange(self.admin, format!("{method} {path} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes()).status
     }
 
+    /// The faults of the system under it.
+    pub fn faults(&self) -> &Faults {
+        self.faults.as_ref().expect("a program that was started with faults")
+    }
+
     /// Descriptors that the program holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
