Count time on the monotonic clock, and read stamps by the wall clock that made them

After a step back by an hour each X-Request-Start lay an hour in the past, so that all requests failed as overdue; two processes of an upgrade handed each other times of two clocks, and a key was run again after a step forward. Change: net/clock notes each step with the time around it (pure part: WallClock) and reads a stamp by the epoch in which it can have been made. Times go to another process as the wall clock shows them now; the end of a key's window is read as late as any clock of the last five seconds has it, within what the settings allow. A reading of both clocks with a pause in between is taken again, so that a stopped process sees no step. EINTR on the handover's socket ended the link: it is read again. A test's own mistakes, seen as failures while writing: a stamp of before a step made after it, and an idle connection that the program had trimmed.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -13,7 +13,7 @@
 /// Bytes of results kept at most; beyond that the oldest are dropped, but never their keys.
 const MOST_RESULT_BYTES: usize = 16 << 20;
 /// A try is taken to have come within a window up to this long after its end.
-const MARGIN: Duration = Duration::from_secs(1);
+pub(super) const MARGIN: Duration = Duration::from_secs(1);
 
 /// A try that was run.
 #[derive(Debug)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -142,7 +142,8 @@
     /// # Errors
     /// [`CoreError`] where nothing can be decided with its settings.
     pub fn new(site: Site, seed: u64, stop_after: Duration, now: Duration) -> Result<Self, CoreError> {
-        let brain = Brain::new(site.settings.clone(), seed, now)?;
+        let settings = leaving::with_grace_from_reading(site.settings.clone());
+        let brain = Brain::new(settings, seed, now)?;
         let mut core = Self {
             brain,
             site,
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -8,8 +8,9 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use super::keys::MARGIN;
 use super::types::*;
-use super::{Core, Timer, OVERDUE};
+use super::{leaving, Core, Timer, OVERDUE, SWEEP};
 use crate::interface::{Repeat, RequestId, Settings};
 
 /// What a reducer knows of the other process.
@@ -51,7 +52,8 @@
                         self.partner.waits.remove(&before);
                     }
                 }
-                self.keys.inherit(state, id);
+                let until = self.plausible_end(now, state.until);
+                self.keys.inherit(KeyState { until, ..state }, id);
             }
             Succession::Complete { standby } => {
                 self.partner.complete = true;
@@ -97,6 +99,18 @@
         }
     }
 
+    /// The end of a window that the old process told, within what the settings allow. One that is long over was told by
+    /// another clock, as the old process does not keep such keys: its key stays taken for as long as it may.
+    fn plausible_end(&self, now: Duration, until: Duration) -> Duration {
+        let windows = self.site.settings.classes.iter().map(|class| class.window);
+        let latest = now + windows.max().unwrap_or_default() + MARGIN;
+        let is_stale = until + self.longest_wait() + 2 * SWEEP < now;
+        if is_stale {
+            return latest;
+        }
+        until.min(latest)
+    }
+
     /// The dependency survives the shares of all servers: two processes of one server have one share together.
     fn halve_calls(&mut self, halves: bool) {
         if std::mem::replace(&mut self.partner.halves, halves) != halves {
@@ -106,7 +120,7 @@
 
     /// The settings as they hold for this process's module.
     pub(super) fn module_settings(&self) -> Settings {
-        let mut settings = self.site.settings.clone();
+        let mut settings = leaving::with_grace_from_reading(self.site.settings.clone());
         settings.call_share *= if self.partner.halves { 0.5 } else { 1.0 };
         settings
     }
--- /dev/null
+++ b/src/net/clock.rs
@@ -0,0 +1,183 @@
+//! The program's clock: time since the Unix epoch that only goes forward, and where it stands beside the wall clock.
+//!
+//! Deadlines, windows and graces are spans of real time, counted on the system's monotonic clock. Others state times of
+//! the wall clock, which may be stepped at any moment. So each step is noted, with the time around it; a stamp is read by
+//! the wall clock as it was when it was made: a time after a step cannot have been stamped by the clock of before.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Less than this is no step: the two clocks are read one after the other, and the wall clock is slewed.
+const LEAST_STEP_US: i64 = 10_000;
+/// A reading of the wall clock is good to so much; where the thread was held up in between, it is taken again.
+const READING_ERROR: Duration = Duration::from_millis(1);
+/// Readings that are tried one after the other.
+const MOST_READINGS: usize = 8;
+/// Steps that are kept.
+const MOST_STEPS: usize = 16;
+/// For so long after a step, stamps that lie in the future may be of either side of it.
+const STEP_IN_TRANSIT: Duration = Duration::from_secs(5);
+
+/// A time in which the wall clock was not stepped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Epoch {
+    /// What the wall clock shows beyond this clock.
+    offset_us: i64,
+    /// The step that began it came after this.
+    after: Duration,
+    /// It had begun by then.
+    by: Duration,
+}
+
+/// The wall clock's steps, without I/O.
+#[derive(Debug, Default)]
+pub struct WallClock {
+    /// The newest last.
+    epochs: VecDeque<Epoch>,
+    observed: Duration,
+}
+
+fn micros(time: Duration) -> i64 {
+    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
+}
+
+/// A time in signed microseconds; before the epoch there is none.
+fn from_micros(us: i64) -> Duration {
+    Duration::from_micros(u64::try_from(us).unwrap_or_default())
+}
+
+impl WallClock {
+    /// At `now`, the wall clock shows `wall`.
+    pub fn observe(&mut self, now: Duration, wall: Duration) {
+        let offset_us = micros(wall).saturating_sub(micros(now));
+        match self.epochs.back_mut() {
+            Some(epoch) if (offset_us - epoch.offset_us).abs() < LEAST_STEP_US => epoch.offset_us = offset_us,
+            _ => {
+                self.epochs.push_back(Epoch { offset_us, after: self.observed, by: now });
+                if self.epochs.len() > MOST_STEPS {
+                    self.epochs.pop_front();
+                }
+            }
+        }
+        self.observed = now;
+    }
+
+    /// Steps that are known.
+    pub fn steps(&self) -> usize {
+        self.epochs.len().saturating_sub(1)
+    }
+
+    /// When a moment that lies in the past by now was, which the wall clock showed as `stamp`.
+    pub fn past(&self, stamp: Duration, now: Duration) -> Duration {
+        let Some(newest) = self.epochs.back() else { return stamp.min(now) };
+        let mut end = now;
+        for (place, epoch) in self.epochs.iter().enumerate().rev() {
+            let at = micros(stamp).saturating_sub(epoch.offset_us);
+            let is_after = place == 0 || at >= micros(epoch.after) - LEAST_STEP_US;
+            if is_after && at <= micros(end) + LEAST_STEP_US {
+                return from_micros(at).min(now);
+            }
+            end = epoch.by;
+        }
+        // Of no time that is known: a clock elsewhere runs ahead.
+        from_micros(micros(stamp).saturating_sub(newest.offset_us)).min(now)
+    }
+
+    /// When a moment may be at the latest that lies in the future, and which another process wrote as `stamp` a moment ago:
+    /// the wall clock may have been stepped in between.
+    pub fn future(&self, stamp: Duration, now: Duration) -> Duration {
+        let mut latest = None;
+        let mut end = now;
+        for epoch in self.epochs.iter().rev() {
+            if latest.is_some() && end + STEP_IN_TRANSIT < now {
+                break;
+            }
+            latest = latest.max(Some(from_micros(micros(stamp).saturating_sub(epoch.offset_us))));
+            end = epoch.by;
+        }
+        latest.unwrap_or(stamp)
+    }
+
+    /// What the wall clock shows, by its last reading, when this clock shows `at`.
+    pub fn shown_at(&self, at: Duration) -> Duration {
+        let offset = self.epochs.back().map_or(0, |epoch| epoch.offset_us);
+        from_micros(micros(at).saturating_add(offset))
+    }
+}
+
+/// The program's clock.
+#[derive(Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+    wall: Mutex<WallClock>,
+}
+
+impl Clock {
+    /// Starts with what the wall clock shows.
+    pub fn new() -> Self {
+        let clock = Self { start: Instant::now(), unix: read_wall(), wall: Mutex::default() };
+        clock.look();
+        clock
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+
+    /// Notes whether the wall clock was stepped; to be called now and then.
+    pub fn look(&self) {
+        drop(self.observe());
+    }
+
+    /// When a caller's stamp of the wall clock was made.
+    pub fn past(&self, stamp: Duration) -> Duration {
+        self.observe().past(stamp, self.now())
+    }
+
+    /// When a moment in the future is that another process wrote down just now.
+    pub fn future(&self, stamp: Duration) -> Duration {
+        self.observe().future(stamp, self.now())
+    }
+
+    /// A time of this clock as the wall clock shows it, for another process.
+    pub fn to_wall(&self, at: Duration) -> Duration {
+        self.observe().shown_at(at)
+    }
+
+    /// Steps of the wall clock so far.
+    pub fn steps(&self) -> usize {
+        self.lock().steps()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WallClock> {
+        self.wall.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn observe(&self) -> MutexGuard<'_, WallClock> {
+        let mut wall = self.lock();
+        for _ in 0..MOST_READINGS {
+            let before = self.now();
+            let shown = read_wall();
+            let now = self.now();
+            // A thread that was held up between the two would see a step where there is none.
+            if now.saturating_sub(before) <= READING_ERROR {
+                wall.observe(now, shown);
+                break;
+            }
+        }
+        wall
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn read_wall() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -110,8 +110,12 @@
         loop {
             let line = match lines.line() {
                 Ok(Some(line)) => line,
-                Ok(None) if matches!(read_some(&mut (&stream), lines.room()), Ok(n) if n > 0) => continue,
-                _ => break,
+                Ok(None) => match read_some(&mut (&stream), lines.room()) {
+                    Ok(read) if read > 0 => continue,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                    _ => break,
+                },
+                Err(_) => break,
             };
             match parse(&line) {
                 Some(Heard::Word(word)) => {
@@ -119,11 +123,12 @@
                     if let (Succession::Complete { standby: true }, Some(fleet)) = (&word, &hub.fleet) {
                         fleet.draining(true);
                     }
-                    hub.push(Input::Succession(word));
+                    hub.push(Input::Succession(on_own_clock(word, hub)));
                 }
                 Some(Heard::Request(mut request)) => {
                     let conn = hub.new_conn();
                     let there = std::mem::replace(&mut request.conn, conn);
+                    request.start = hub.clock.past(request.start);
                     if let Some(link) = self.lock().as_mut() {
                         link.passed_on.insert(conn, there);
                     }
@@ -141,6 +146,14 @@
     }
 }
 
+/// What the other process says, with its times, which are the wall clock's, as this process counts them.
+fn on_own_clock(word: Succession, hub: &Hub) -> Succession {
+    match word {
+        Succession::Key(key) => Succession::Key(KeyState { until: hub.clock.future(key.until), ..key }),
+        word => word,
+    }
+}
+
 fn write(stream: &UnixStream, queue: &Receiver<Word>) {
     let mut writes = BufWriter::new(stream);
     while let Ok(word) = queue.recv() {
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -8,6 +8,7 @@
 
 use may::sync::mpsc as co;
 
+use super::clock::Clock;
 use super::connection_table::{Admission, Capacity, ConnectionTable};
 use super::listen::{ConnectionHandle, Place};
 use super::routed::Router;
@@ -31,6 +32,7 @@
 
 /// What all coroutines share.
 pub struct Hub {
+    pub(super) clock: Clock,
     pub(super) inbox: Sender<Input>,
     pub(super) waiting: AtomicUsize,
     connections: Mutex<ConnectionTable<ConnectionHandle>>,
@@ -76,6 +78,7 @@
         routing: Option<Arc<dyn Router>>,
     ) -> Self {
         let hub = Self {
+            clock: Clock::new(),
             inbox,
             waiting: AtomicUsize::new(0),
             connections: Mutex::default(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod clock;
 mod closing;
 pub mod connection_table;
 pub mod control;
@@ -31,12 +32,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tracing::{info, warn};
 
 use crate::acme::Shared;
-use crate::core::{Core, Effect, Input, Query};
+use crate::core::{Core, Effect, Input, KeyState, Query};
 use crate::fleet;
 use crate::settings::{Config, Links};
 pub use error::NodeError;
@@ -51,32 +52,6 @@
 /// While leaving, the connections are looked at this often.
 const LEAVE_LOOK: Duration = Duration::from_millis(5);
 
-/// Time since the Unix epoch that only goes forward: the system's clock, read once, and steps from there.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    /// Reads the system's clock.
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), unix }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Duration {
-        self.unix + self.start.elapsed()
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// A handle for parts outside the reducer, such as the signal handler.
 #[derive(Clone)]
 pub struct Handle(Arc<Hub>);
@@ -84,7 +59,8 @@
 impl Handle {
     /// Begins to leave.
     pub fn drain(&self) {
-        self.0.push(Input::Drain);
+        // The grace counts from here: a full inbox must not hold it up.
+        self.0.push_at_once(Input::Drain);
     }
 
     /// Takes up other settings, and moves the links to new addresses. A link that was on stays on: the program
@@ -134,7 +110,6 @@
 /// The program: the reducer with everything connected.
 pub struct Node {
     core: Core,
-    clock: Clock,
     hub: Arc<Hub>,
     inbox: Receiver<Input>,
     runner: Runner,
@@ -162,7 +137,6 @@
     /// # Errors
     /// [`NodeError`] where an address or a thread cannot be had, or the settings say nothing.
     pub fn start(config: &Config, certificate: Shared) -> Result<Self, NodeError> {
-        let clock = Clock::new();
         let (sender, inbox) = std::sync::mpsc::channel();
         let fleet = config.fleet().map(fleet::Link::start).transpose()?;
         let answers = fleet.as_ref().map(fleet::Link::answers).unwrap_or_default();
@@ -172,7 +146,7 @@
         let classes = config.site.class_names.clone();
         let hub = Arc::new(Hub::new(sender, config.sockets, config.links(), classes, fleet, routing));
         routed::start(&hub);
-        let core = Core::new(config.site.clone(), config.seed, config.stop_after, clock.now())?;
+        let core = Core::new(config.site.clone(), config.seed, config.stop_after, hub.clock.now())?;
         let runner = match (config.agent, config.appliance.scgi_application) {
             (Some(_), _) => Runner::Agent(agent::Link::start(&hub)),
             (None, Some(address)) => Runner::Application(scgi::Application::new(address, &hub)),
@@ -193,7 +167,6 @@
         let predecessor = config.handover.as_ref().and_then(|path| handover::find(path, &hub));
         let mut node = Self {
             core,
-            clock,
             hub,
             inbox,
             runner,
@@ -298,7 +271,7 @@
             let wait = self
                 .core
                 .next_timer()
-                .map_or(Duration::from_secs(1), |at| at.saturating_sub(self.clock.now()));
+                .map_or(Duration::from_secs(1), |at| at.saturating_sub(self.hub.clock.now()));
             let wait = if leaving { wait.min(LEAVE_LOOK) } else { wait };
             let first = match self.inbox.recv_timeout(wait) {
                 Ok(input) => Some(input),
@@ -308,7 +281,8 @@
             let mut batch: Vec<Input> = first.into_iter().collect();
             batch.extend(self.inbox.try_iter().take(BATCH));
             self.hub.waiting.fetch_sub(batch.len(), Ordering::Relaxed);
-            for effect in self.core.step(self.clock.now(), batch) {
+            self.hub.clock.look();
+            for effect in self.core.step(self.hub.clock.now(), batch) {
                 leaving |= effect == Effect::Leave;
                 self.perform(effect);
             }
@@ -409,6 +383,9 @@
             Effect::HandOver { keys, standby } => {
                 info!("hands over to a new process: {} keys", keys.len());
                 self.hub.share(true);
+                let clock = &self.hub.clock;
+                let on_wall_clock = |key: KeyState| KeyState { until: clock.to_wall(key.until), ..key };
+                let keys = keys.into_iter().map(on_wall_clock).collect();
                 self.successor.send(handover::Word::Keys(keys, standby));
                 if let Some(fleet) = &self.hub.fleet {
                     fleet.release();
@@ -417,7 +394,10 @@
                     driver.release();
                 }
             }
-            Effect::Forward(request) => self.successor.send(handover::Word::Request(request)),
+            Effect::Forward(mut request) => {
+                request.start = self.hub.clock.to_wall(request.start);
+                self.successor.send(handover::Word::Request(request));
+            }
             Effect::Settled { key, ran, result } => {
                 self.successor.send(handover::Word::Settled(key, ran, result));
             }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -455,3 +455,16 @@
     let drained = bench.step(4_001, [Input::Drain]);
     assert_eq!(lists(&drained), [] as [bool; 0]);
 }
+
+#[rstest]
+#[case::well_within(1_850, true)]
+#[case::where_a_late_signal_would_have_it_outside(1_950, false)]
+fn a_drain_leaves_room_for_a_signal_that_is_read_late(#[case] after: u64, #[case] runs: bool) {
+    // Guards against runs of what came over two seconds after the notice was sent, as its reader was held up.
+    let mut bench = Bench::new();
+    bench.step(100, [Input::Drain]);
+    bench.pass(100 + after);
+    let sent = bench.send(100 + after, "queue-status", None);
+    bench.pass(100 + after + 20);
+    assert_eq!(launches_of(&bench.done, sent) == 1, runs);
+}
--- a/tests/program/clock.rs
+++ b/tests/program/clock.rs
@@ -1,7 +1,8 @@
 //! The wall clock is stepped while the program runs: deadlines, windows and graces are spans of real time.
 
+use std::io::Write;
 use std::sync::OnceLock;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hopwalk::lab::shim::{Dial, Shim};
 use rstest::rstest;
@@ -43,6 +44,7 @@
 #[rstest]
 #[case::back(-HOUR_MS)]
 #[case::forward(HOUR_MS)]
+#[case::back_by_seconds(-3_000)]
 #[case::forward_by_seconds(5_000)]
 fn requests_are_served_on_both_sides_of_a_step(#[case] by_ms: i64) {
     // Guards against a clock that is read once: after a step back by an hour every request is an hour old.
@@ -50,12 +52,13 @@
     let program = start(&agent);
     let ask = || Ask::new("queue-status", b"a");
     assert_eq!(exchange(program.http, &ask().http()).body, b"made:a");
+    let of_before = Ask { start_ms: Some(unix_ms()), ..ask() };
     step(&program, by_ms);
     for _ in 0..3 {
         assert_eq!(exchange(program.http, &stamped(ask(), by_ms).http()).body, b"made:a");
     }
-    // Stamped right before the step, and read after it.
-    assert_eq!(exchange(program.http, &ask().http()).body, b"made:a");
+    // Stamped before the step, and read after it.
+    assert_eq!(exchange(program.http, &of_before.http()).body, b"made:a");
     step(&program, 0);
     assert_eq!(exchange(program.http, &ask().http()).body, b"made:a");
 }
@@ -76,6 +79,27 @@
     assert_eq!(agent.launches().len(), 1);
 }
 
+#[rstest]
+#[case::back(-HOUR_MS)]
+#[case::forward(HOUR_MS)]
+fn a_deadline_across_a_step_is_a_span_of_real_time(#[case] by_ms: i64) {
+    let agent = Agent::start(1, Duration::from_secs(60), false);
+    let program = start(&agent);
+    let since = Instant::now();
+    let mut before = connect(program.http);
+    let ask = || Ask { patience_ms: 1300, ..Ask::new("queue-status", b"") };
+    before.write_all(&ask().http()).unwrap();
+    wait_for("the launch", || agent.launches().len() == 1);
+    step(&program, by_ms);
+    let mut after = connect(program.http);
+    after.write_all(&stamped(ask(), by_ms).http()).unwrap();
+    for stream in [&mut before, &mut after] {
+        assert_eq!(read_answer(stream).status, 500);
+        let took = since.elapsed();
+        assert!((Duration::from_millis(900)..Duration::from_millis(1450)).contains(&took), "{took:?}");
+    }
+}
+
 #[rstest]
 #[case::back(-HOUR_MS)]
 #[case::forward(HOUR_MS)]
--- a/tests/program/links.rs
+++ b/tests/program/links.rs
@@ -251,6 +251,8 @@
     let mut link = agent.link();
     link.sync();
     // What ended meanwhile is not forwarded any more.
+    drop(stream);
+    let mut stream = connect(program.http);
     stream.write_all(&Ask::new("queue-status", b"b").http()).unwrap();
     assert_eq!(link.expect("launch").arg, b"b");
 }
