Soak with links that break, system calls that fail and clocks that step, judged from outside

New faults: system (accept, connect, interrupted, short, broken connections, by the library of faults), clock, hangup. As a listener closes, an accept that fails and a wait that is interrupted no longer leave its backlog behind. Guards at run time: an answer is given once to each request and to nobody who asked nothing; what is withheld, and a connection that ends while it is owed an answer, is counted in 'violations', as is what core/delivery withholds.

--- a/src/acme/challenge.rs
+++ b/src/acme/challenge.rs
@@ -8,6 +8,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use crate::net::at_start;
+
 /// Where challenges are looked for; the token follows.
 const PATH: &str = "/.well-known/acme-challenge/";
 /// A connection is served within this time.
@@ -28,7 +30,7 @@
 
 impl Responder {
     pub(super) fn start(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = at_start::open(|| TcpListener::bind(address))?;
         listener.set_nonblocking(true)?;
         let (answers, over) = (Answers::default(), Arc::new(AtomicBool::new(false)));
         let (of_thread, ends) = (answers.clone(), over.clone());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -247,6 +247,7 @@
             }
             Input::Rejected => self.counters.rejected += 1,
             Input::Unsent(end) => self.counters.unsent(end),
+            Input::Violated => self.counters.violations += 1,
             Input::Agent(notice) => self.agent(now, notice),
             Input::CallEnded { handle, attempt, end, reply, fence } => {
                 self.went_out(handle, fence);
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -93,6 +93,8 @@
     Rejected,
     /// An answer could not be written whole.
     Unsent(End),
+    /// The connections withheld what a rule forbids.
+    Violated,
     /// The agent told something.
     Agent(Notice),
     /// A call below ended.
--- a/src/lab/history.rs
+++ b/src/lab/history.rs
@@ -8,6 +8,8 @@
 //!   the request's last bytes to the matcher) and `came_ms` (the net had read the answer's last bytes from it);
 //! - `gone`: `id`, `why` (the connection ended or the caller stopped waiting, with no answer);
 //! - `run`: `id`, `key`, `by` (the agent that started it), `handle`;
+//! - `changed`: `by` (the agent that was told so), `handle`, `what` (`class` or `body`: a launch is not that of its request;
+//!   `reply`: a run got the reply to another call; `again`: a run that must not be repeated was launched after its end);
 //! - `process`: `name`, `what` (`spawn`, `start` once callers reach it, `stop`, `kill`, `pause`, `continue`, `exit`);
 //! - `fault`: `kind`, `target`, `phase` (`start` or `end`); between members of a fleet the target names the ways, as
 //!   `m1>m4` with a blank between two, and `kind` is `datagrams`, or `datagrams_cut` when nothing passes; either end lifts both;
@@ -63,6 +65,8 @@
     Gone { id: String, why: String },
     /// An agent began a run.
     Run { id: String, key: String, by: String, handle: String },
+    /// An agent was told what it must not be told: something came changed, or came again.
+    Changed { by: String, handle: String, what: String },
     /// Something happened to a process.
     Process { name: String, what: String },
     /// A fault began or ended.
@@ -182,6 +186,7 @@
         Event::Answer { id, status, passed: None } => info!(t_ms, event = "answer", id, status),
         Event::Gone { id, why } => info!(t_ms, event = "gone", id, why),
         Event::Run { id, key, by, handle } => info!(t_ms, event = "run", id, key, by, handle),
+        Event::Changed { by, handle, what } => info!(t_ms, event = "changed", by, handle, what),
         Event::Process { name, what } => info!(t_ms, event = "process", name, what),
         Event::Fault { kind, target, phase } => info!(t_ms, event = "fault", kind, target, phase),
         Event::View { of, seen, counts } => info!(t_ms, event = "view", of, seen, counts),
@@ -234,6 +239,7 @@
         }
         "gone" => Event::Gone { id: text("id")?, why: text("why")? },
         "run" => Event::Run { id: text("id")?, key: text("key")?, by: text("by")?, handle: text("handle")? },
+        "changed" => Event::Changed { by: text("by")?, handle: text("handle")?, what: text("what")? },
         "process" => Event::Process { name: text("name")?, what: text("what")? },
         "fault" => Event::Fault { kind: text("kind")?, target: text("target")?, phase: text("phase")? },
         "view" => Event::View { of: text("of")?, seen: text("seen")?, counts: text("counts")? },
@@ -305,6 +311,7 @@
             Event::Answer { id: "a\"1".into(), status: 503, passed: None },
             Event::Answer { id: "b".into(), status: 200, passed: Some(Passed { handed_ms: 3, came_ms: 8 }) },
             Event::Run { id: "a".into(), key: "k".into(), by: "agent-m1".into(), handle: "h".into() },
+            Event::Changed { by: "agent-m1".into(), handle: "h".into(), what: "reply".into() },
             Event::Process { name: "m1".into(), what: "kill".into() },
             Event::Stall { cpu: 3, ms: 250 },
             Event::Fault { kind: "cut".into(), target: "m1-vault".into(), phase: "start".into() },
--- a/src/lab/routes/handover.rs
+++ b/src/lab/routes/handover.rs
@@ -56,6 +56,8 @@
         // Each process has a folder of its own, one that was killed too.
         let killed = self.newcomers.iter().filter(|n| n.name == name).map(|n| n.starts);
         let mut next = Matcher {
+            shim: None,
+            faults: None,
             name: name.to_string(),
             config: config.to_string(),
             folder: runs.folder.clone(),
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -18,6 +18,7 @@
 use super::datagram::DatagramFaults;
 use super::net::Faults;
 pub use super::scenario_error::ScenarioError;
+use super::shim::Dial;
 use ScenarioError as Wrong;
 
 /// The default scenario of `hopwalk lab run`.
@@ -62,12 +63,45 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum FaultKind {
-    Link { link: String, faults: Faults },
-    Reset { link: String, every_ms: Option<u64> },
-    Partition { a: Vec<String>, b: Vec<String>, one_way: bool },
-    Pause { target: String },
-    Kill { target: String, restart_after_s: Option<f64> },
-    Datagrams { ways: Vec<(usize, usize)>, faults: DatagramFaults, flap_ms: Option<u64> },
+    Link {
+        link: String,
+        faults: Faults,
+    },
+    Reset {
+        link: String,
+        every_ms: Option<u64>,
+    },
+    Partition {
+        a: Vec<String>,
+        b: Vec<String>,
+        one_way: bool,
+    },
+    Pause {
+        target: String,
+    },
+    Kill {
+        target: String,
+        restart_after_s: Option<f64>,
+    },
+    Datagrams {
+        ways: Vec<(usize, usize)>,
+        faults: DatagramFaults,
+        flap_ms: Option<u64>,
+    },
+    /// System calls that fail, for a while.
+    System {
+        target: String,
+        dials: Vec<(Dial, i64)>,
+    },
+    /// The wall clock of the machine shows so much more, from then on.
+    Clock {
+        target: String,
+        ms: i64,
+    },
+    /// The configuration is read again.
+    Hangup {
+        target: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -107,6 +141,13 @@
     Continue(String),
     Kill(String),
     Restart(String),
+    /// Turn these dials of the system under a matcher.
+    System {
+        target: String,
+        dials: Vec<(Dial, i64)>,
+    },
+    /// SIGHUP.
+    Hangup(String),
     /// Put these faults on what one member sends to another.
     Peers {
         ways: Vec<(usize, usize)>,
@@ -312,11 +353,36 @@
                     o.get("restart_after_s").map(|_| number(o, "restart_after_s", at, None)).transpose()?;
                 FaultKind::Kill { target: process()?, restart_after_s: restart }
             }
+            "system" => {
+                let rate = |key: &str| number(o, key, at, Some(0.0)).map(|rate| rate.min(1000.0) as i64);
+                let all = [
+                    (Dial::Accept, "accept"),
+                    (Dial::Connect, "connect"),
+                    (Dial::Interrupt, "interrupt"),
+                    (Dial::Short, "short"),
+                    (Dial::Break, "break"),
+                ];
+                let read = all.map(|(dial, key)| rate(key).map(|rate| (dial, rate)));
+                let dials = read.into_iter().collect::<Result<Vec<_>, _>>()?;
+                FaultKind::System { target: process()?, dials }
+            }
+            "clock" => {
+                let (forward, back) =
+                    (number(o, "forward_ms", at, Some(0.0))?, number(o, "back_ms", at, Some(0.0))?);
+                FaultKind::Clock { target: process()?, ms: forward as i64 - back as i64 }
+            }
+            "hangup" => FaultKind::Hangup { target: process()? },
             other => return Err(Wrong::Kind { key: format!("{at}kind"), kind: other.into() }),
         };
         Ok(Fault { at_s, for_s, kind })
     }
 
+    /// Its faults are of the system under the matchers.
+    pub fn needs_shim(&self) -> bool {
+        let is_of_system = |f: &Fault| matches!(f.kind, FaultKind::System { .. } | FaultKind::Clock { .. });
+        self.faults.iter().any(is_of_system)
+    }
+
     /// Every link of this lab with the two processes at its ends: (link, near, far).
     pub fn links(&self) -> Vec<(String, String, String)> {
         let mut all = Vec::new();
@@ -411,6 +477,16 @@
                         all.push((ms(f.at_s + after), Action::Restart(target.clone())));
                     }
                 }
+                FaultKind::System { target, dials } => {
+                    let off = dials.iter().map(|(dial, _)| (*dial, 0)).collect();
+                    all.push((start, Action::System { target: target.clone(), dials: dials.clone() }));
+                    all.push((end, Action::System { target: target.clone(), dials: off }));
+                }
+                FaultKind::Clock { target, ms } => {
+                    let dials = vec![(Dial::WallOffsetUs, ms * 1000)];
+                    all.push((start, Action::System { target: target.clone(), dials }));
+                }
+                FaultKind::Hangup { target } => all.push((start, Action::Hangup(target.clone()))),
             }
         }
         // Stable: of two actions at one time, the one written first comes first.
--- a/src/lab/scenario_error.rs
+++ b/src/lab/scenario_error.rs
@@ -71,7 +71,7 @@
     #[error("{key}: `{kind}` is not known")]
     #[diagnostic(help(
         "docs/lab.md lists the kinds of faults: delay, stall, throttle, half_close, cut, reset, \
-         partition, datagrams, pause, kill"
+         partition, datagrams, pause, kill, system, clock, hangup"
     ))]
     Kind { key: String, kind: String },
     /// A process stands on both sides of a partition.
--- a/src/lab/shim.rs
+++ b/src/lab/shim.rs
@@ -28,10 +28,16 @@
     Short,
     /// Writes and syncs to files that fail.
     Disk,
-    /// Reads and writes on sockets that find their connection broken.
+    /// Reads and writes on sockets that the process connected, and that find them broken.
     Break,
 }
 
+impl Dial {
+    /// The dials that are rates.
+    pub const RATES: [Self; 6] =
+        [Self::Accept, Self::Connect, Self::Interrupt, Self::Short, Self::Disk, Self::Break];
+}
+
 /// How many dials there are.
 const DIALS: u64 = Dial::Break as u64 + 1;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -94,6 +94,9 @@
         /// Labs that run at the same time.
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=lab::sweep::MOST_AT_ONCE))]
         at_once: u64,
+        /// Longer scenarios with more matchers and faults, of the system and its clock too.
+        #[arg(long)]
+        soak: bool,
         /// The program to start as matchers: this one by default.
         #[arg(long)]
         program: Option<PathBuf>,
@@ -274,10 +277,11 @@
     at_once: u64,
     program: Option<PathBuf>,
     out: Option<PathBuf>,
+    draw: fn(u64) -> String,
 ) -> Result<bool, ProgramError> {
     let (folder, program) = (lab_folder(out), lab_program(program)?);
     let bar = indicatif::ProgressBar::new(count);
-    let all = lab::sweep::sweep(seed, count, at_once, &program, &folder, |swept| {
+    let all = lab::sweep::sweep(seed, count, at_once, &program, &folder, draw, |swept| {
         bar.inc(1);
         match &swept.verdict {
             Ok(verdict) if !verdict.clean() => {
@@ -530,8 +534,9 @@
             LabWord::Run { scenario, out, seconds, program } => lab_run(scenario, out, seconds, program),
             LabWord::Check { history, slack_ms, window_ms } => lab_check(&history, slack_ms, window_ms),
             LabWord::Report { history, plot } => lab_report(&history, plot),
-            LabWord::Sweep { count, seed, at_once, program, out } => {
-                lab_sweep(count, seed, at_once, program, out)
+            LabWord::Sweep { count, seed, at_once, soak, program, out } => {
+                let draw = if soak { lab::sweep::soak_scenario } else { lab::sweep::scenario };
+                lab_sweep(count, seed, at_once, program, out, draw)
             }
             LabWord::Simulate { members, seeds, no_faults, seconds, at_once } => {
                 Ok(lab::sim::command::simulate(members as usize, seeds, !no_faults, seconds * 1000, at_once))
--- a/src/net/connection_table.rs
+++ b/src/net/connection_table.rs
@@ -33,6 +33,17 @@
     Full,
 }
 
+/// Whether a connection is owed an answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Giving<'a, H> {
+    /// It is, and this is it.
+    Owed(&'a H),
+    /// It is not: one was given, or nothing was asked. Another one would pass for that to its next request.
+    NotOwed,
+    /// There is no such connection.
+    Gone,
+}
+
 /// What a connection does once the request that it just read is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterAnswer {
@@ -57,6 +68,8 @@
     has_part: bool,
     /// A request of it is not answered yet.
     is_busy: bool,
+    /// The answer to that request was given to its owner.
+    has_answer: bool,
     /// It was evicted, or its owner closes it for another reason.
     is_closing: bool,
     /// It takes the place of a spare one, and closes after its next answer.
@@ -108,9 +121,19 @@
         self.entries.get(&conn).is_some_and(|entry| entry.is_closing)
     }
 
-    /// The handle of a connection.
-    pub fn get(&self, conn: ConnId) -> Option<&H> {
-        self.entries.get(&conn).map(|entry| &entry.handle)
+    /// It is in the table.
+    pub fn contains(&self, conn: ConnId) -> bool {
+        self.entries.contains_key(&conn)
+    }
+
+    /// Gives the owner of a connection the answer that it owes.
+    pub fn give_answer(&mut self, conn: ConnId) -> Giving<'_, H> {
+        let Some(entry) = self.entries.get_mut(&conn) else { return Giving::Gone };
+        if !entry.is_busy || entry.has_answer {
+            return Giving::NotOwed;
+        }
+        entry.has_answer = true;
+        Giving::Owed(&entry.handle)
     }
 
     /// Admits a connection at `now`, if there is room. `evict` is called for one that is to make room, where one can:
@@ -135,6 +158,7 @@
             has_asked: false,
             has_part: false,
             is_busy: false,
+            has_answer: false,
             is_closing: false,
             closes_after_answer: !placed,
             since: now,
@@ -158,6 +182,7 @@
             was_closing = std::mem::take(&mut entry.is_closing);
             entry.closes_after_answer |= was_closing;
             (entry.has_asked, entry.has_part, entry.is_busy) = (true, false, true);
+            entry.has_answer = false;
             if !entry.closes_after_answer {
                 after = AfterAnswer::Stays;
             }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,6 +3,8 @@
 use std::io::{self, Read, Write};
 use std::time::{Duration, Instant};
 
+use tracing::warn;
+
 use super::closing::{self, Ending};
 use super::connection_table::{AfterAnswer, EVICT_AFTER};
 use super::fields::{Bad, Message, Parsed};
@@ -93,7 +95,11 @@
                 Input::Request(request)
             }
         });
-        let Ok(answer) = place.answers.recv() else { return Ending::Finished };
+        let Ok(answer) = place.answers.recv() else {
+            warn!("violation: a connection ends without the answer that it is owed: {conn}");
+            hub.push(Input::Violated);
+            return Ending::Finished;
+        };
         let invalid = matches!(answer.verdict, Verdict::Invalid(_) | Verdict::NoSuchClass);
         let close = message.close || answer.close || invalid || after == AfterAnswer::Closes;
         let ending = write(stream, &wire.encode(&answer, close), hub);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -22,7 +22,7 @@
 
 use super::front::read_some;
 use super::lines::Lines;
-use super::Hub;
+use super::{at_start, Hub};
 use crate::core::{Answer, Bytes, ConnId, Input, Key, KeyState, Request, Succession, Verdict};
 
 /// Words that may wait for the other process.
@@ -222,7 +222,7 @@
 /// A socket in place of the one that another process left.
 fn bind(path: &Path) -> io::Result<UnixListener> {
     let _ = std::fs::remove_file(path);
-    let listener = UnixListener::bind(path)?;
+    let listener = at_start::open(|| UnixListener::bind(path))?;
     std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
     Ok(listener)
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -13,6 +13,7 @@
 
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc as co;
+use nix::errno::Errno;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use tracing::{debug, warn};
@@ -20,7 +21,7 @@
 use super::connection_table::AfterAnswer;
 use super::hub::Hub;
 use super::stream::Conn;
-use super::{front, newcomers, spawn};
+use super::{at_start, front, newcomers, spawn};
 use crate::core::{Answer, ConnId};
 
 /// Bytes of answers that the system may hold for a caller that does not read: some whole answers, and no more
@@ -165,7 +166,10 @@
     let until = Instant::now() + HANDSHAKE_TIME;
     loop {
         while has_backlog(&listener) {
-            take_in(next(&listener), hub, &serve);
+            // Where accepting fails, the next look tells whether anybody is still there to be waited for.
+            if let Some(stream) = accept_once(&listener) {
+                take_in(stream, hub, &serve);
+            }
         }
         if kept_away.is_err() || Instant::now() >= until {
             break;
@@ -179,7 +183,13 @@
 /// A connection is in the backlog, so that accepting does not wait.
 fn has_backlog(listener: &TcpListener) -> bool {
     let mut looks = [PollFd::new(listener.inner().as_fd(), PollFlags::POLLIN)];
-    poll(&mut looks, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
+    loop {
+        match poll(&mut looks, PollTimeout::ZERO) {
+            Err(Errno::EINTR) => {}
+            Err(_) => return false,
+            Ok(ready) => return ready > 0,
+        }
+    }
 }
 
 /// Has a connection served, as soon as there is room for it: it waits unread rather than being closed unread.
@@ -197,12 +207,20 @@
 /// The next connection.
 pub(super) fn next(listener: &TcpListener) -> TcpStream {
     loop {
-        match listener.accept() {
-            Ok((stream, _)) => return stream,
-            Err(e) => {
-                warn!("accept: {e}");
-                crate::net::spawn::sleep(ACCEPT_PAUSE);
-            }
+        if let Some(stream) = accept_once(listener) {
+            return stream;
+        }
+    }
+}
+
+/// The next connection; none where the system fails to give it, after a pause.
+fn accept_once(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept() {
+        Ok((stream, _)) => Some(stream),
+        Err(e) => {
+            warn!("accept: {e}");
+            crate::net::spawn::sleep(ACCEPT_PAUSE);
+            None
         }
     }
 }
@@ -217,9 +235,9 @@
     // May's listener shares its port with any other that does the same: a second server started by mistake would
     // take half of the first one's callers. A plain listener fails where somebody listens.
     if !shared {
-        drop(std::net::TcpListener::bind(address)?);
+        drop(at_start::open(|| std::net::TcpListener::bind(address))?);
     }
-    let listener = TcpListener::bind(address)?;
+    let listener = at_start::open(|| TcpListener::bind(address))?;
     let front = Front { address: listener.local_addr()?, state: Arc::default() };
     let (hub, state) = (hub.clone(), front.state.clone());
     spawn(move || accept(listener, &hub, &state, serve));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod at_start;
 pub mod clock;
 mod closing;
 pub mod connection_table;
@@ -40,6 +41,7 @@
 use crate::core::{Core, Effect, Input, KeyState, Query};
 use crate::fleet;
 use crate::settings::{Config, Links};
+use connection_table::Giving;
 pub use error::NodeError;
 pub use hub::Hub;
 use listen::{listen, next, Front, Place};
@@ -323,13 +325,18 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Answer { conn, answer } => {
-                if let Some(handle) = self.hub.connections().get(conn) {
-                    let _ = handle.answer.send(answer);
-                } else if let Some(predecessor) = &self.predecessor {
-                    predecessor.answer(conn, &answer);
+            Effect::Answer { conn, answer } => match self.hub.connections().give_answer(conn) {
+                Giving::Owed(handle) => drop(handle.answer.send(answer)),
+                Giving::NotOwed => {
+                    warn!("violation: an answer that nothing asked for was withheld: connection {conn}");
+                    self.hub.push_at_once(Input::Violated);
                 }
-            }
+                Giving::Gone => {
+                    if let Some(predecessor) = &self.predecessor {
+                        predecessor.answer(conn, &answer);
+                    }
+                }
+            },
             Effect::Agent(command) => match &self.runner {
                 Runner::Agent(agent) => agent.send(command),
                 Runner::Application(application) => application.send(command),
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use hopwalk::net::connection_table::{Admission, AfterAnswer, Capacity, ConnectionTable, EVICT_AFTER};
+use hopwalk::net::connection_table::{
+    Admission, AfterAnswer, Capacity, ConnectionTable, Giving, EVICT_AFTER,
+};
 use hopwalk::net::front::{Waited, CLOSING_PATIENCE, FIRST_PATIENCE, NEW_PATIENCE, READ_PATIENCE};
 
 const NO_SPARE: Capacity = Capacity { open: 4, spare: 0 };
@@ -101,3 +103,21 @@
     assert_eq!(left(None, None, Duration::ZERO), Duration::ZERO);
     assert_eq!(left(None, Some(ms(30)), Duration::ZERO), EVICT_AFTER - ms(30));
 }
+
+#[test]
+fn an_answer_is_given_once_to_each_request_and_to_nobody_who_asked_nothing() {
+    // Guards against a second answer, which the next request on that connection would take for its own.
+    let now = Instant::now();
+    let mut table = ConnectionTable::default();
+    table.admit(1, "first", now, NO_SPARE, |_| ());
+    assert_eq!(table.give_answer(1), Giving::NotOwed);
+    for _ in 0..2 {
+        table.request_read(1);
+        assert_eq!(table.give_answer(1), Giving::Owed(&"first"));
+        assert_eq!(table.give_answer(1), Giving::NotOwed);
+        table.answered(1, now);
+        assert_eq!(table.give_answer(1), Giving::NotOwed);
+    }
+    table.remove(1);
+    assert_eq!(table.give_answer(1), Giving::Gone);
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -14,6 +14,7 @@
 mod scripted;
 mod signals;
 mod stand_in;
+mod system_calls;
 mod told;
 mod upgrade;
 
--- /dev/null
+++ b/tests/program/system_calls.rs
@@ -0,0 +1,114 @@
+//! System calls that fail for a moment under the program: all that was read is answered, and the end is in good order.
+
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use hopwalk::lab::shim::Dial;
+use rstest::rstest;
+
+use crate::clock::shim;
+use crate::stand_in::*;
+
+const QUICK: Duration = Duration::from_millis(5);
+/// Callers that ask at the same time, and how often each does.
+const CALLERS: usize = 4;
+const ROUNDS: usize = 12;
+
+fn start(agent: &Agent) -> Program {
+    Program::start(Setup {
+        agent: Some(agent.address),
+        vault: Some(vault()),
+        shim: Some(shim()),
+        ..Setup::default()
+    })
+}
+
+fn turn(program: &Program, dials: &[(Dial, i64)]) {
+    dials.iter().for_each(|(dial, rate)| program.faults().set(*dial, *rate).unwrap());
+}
+
+/// Asks again and again, on new connections and on kept ones; the statuses of the answers.
+fn ask_around(program: &Program) -> Vec<u16> {
+    std::thread::scope(|threads| {
+        let callers: Vec<_> =
+            (0..CALLERS).map(|caller| threads.spawn(move || ask_as(program, caller))).collect();
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    })
+}
+
+fn ask_as(program: &Program, caller: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for round in 0..ROUNDS {
+        let key = format!("{caller}-{round}");
+        let mut stream = connect(program.http);
+        for ask in [Ask::keyed(&key, b"keyed"), Ask::new("queue-status", b"read")] {
+            stream.write_all(&Ask { patience_ms: 3000, ..ask }.http()).unwrap();
+            let answer = read_answer(&mut stream);
+            statuses.push(answer.status);
+            if answer.head.contains("Connection: close") {
+                break;
+            }
+        }
+    }
+    statuses
+}
+
+#[rstest]
+#[case::accept(&[(Dial::Accept, 300)])]
+#[case::connect(&[(Dial::Connect, 150)])]
+#[case::interrupted(&[(Dial::Interrupt, 200)])]
+#[case::in_parts(&[(Dial::Short, 600)])]
+#[case::all(&[(Dial::Accept, 200), (Dial::Connect, 80), (Dial::Interrupt, 100), (Dial::Short, 400)])]
+fn all_that_was_read_is_answered_while_system_calls_fail(#[case] dials: &[(Dial, i64)]) {
+    let agent = Agent::start(2, QUICK, true);
+    let mut program = start(&agent);
+    turn(&program, dials);
+    let statuses = ask_around(&program);
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served * 2 > statuses.len(), "{statuses:?}");
+    assert!(statuses.iter().all(|status| [200, 500, 503].contains(status)), "{statuses:?}");
+    let launched: Vec<_> = agent.launches().into_iter().map(|(handle, ..)| handle).collect();
+    assert_eq!(launched.iter().collect::<HashSet<_>>().len(), launched.len(), "none is run twice");
+    assert_eq!(program.counter("violations"), 0);
+    // And the end: what is in the backlog as the listener closes is answered, and the process leaves by itself.
+    program.signal("TERM");
+    let mut late = 0;
+    while let Ok(mut stream) = TcpStream::connect(program.http) {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(&Ask { patience_ms: 50, ..Ask::new("queue-status", b"late") }.http()).unwrap();
+        assert!([200, 500, 503].contains(&read_answer(&mut stream).status));
+        late += 1;
+    }
+    assert!(late > 0);
+    assert!(program.end().success());
+}
+
+#[test]
+fn connections_that_break_at_any_call_leave_nothing_behind() {
+    // Guards against a broken connection that shows as a time that ran out, and is read again without end.
+    // Without calls: a run of this stand-in waits ten seconds for a reply that got lost, and holds a core meanwhile.
+    let agent = Agent::start(2, QUICK, false);
+    let mut program = start(&agent);
+    turn(&program, &[(Dial::Break, 60)]);
+    let mut answered = 0;
+    for round in 0..80 {
+        let mut stream = connect(program.http);
+        let ask = Ask { patience_ms: 300, ..Ask::keyed(&format!("k{round}"), b"x") };
+        if stream.write_all(&ask.http()).is_ok() {
+            let mut first = [0; 12];
+            answered += usize::from(std::io::Read::read_exact(&mut stream, &mut first).is_ok());
+        }
+    }
+    assert_eq!(answered, 80, "callers' own connections do not break");
+    turn(&program, &[(Dial::Break, 0)]);
+    wait_for("a link that lasts", || {
+        exchange(program.http, &Ask::new("queue-status", b"a").http()).status == 200
+    });
+    let launched: Vec<_> = agent.launches().into_iter().map(|(handle, ..)| handle).collect();
+    assert_eq!(launched.iter().collect::<HashSet<_>>().len(), launched.len());
+    assert_eq!(program.counter("violations"), 0);
+    program.signal("TERM");
+    assert!(program.end().success());
+}
