Log the agent's refusals with what they are about, and test that nothing changes on its way

Two mistakes of the new test itself were seen while it was written: it took the question of a move for that of a greeting.

--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use super::types::*;
-use super::{Core, End, Pending, Phase, Timer};
+use super::{keys, Core, End, Pending, Phase, Timer};
 use crate::brain::Brain;
 use crate::interface::{Event, Gauges, Outcome, Preemption, RequestId};
 
+/// Letters of a command's name that the log shows.
+const MOST_COMMAND: usize = 32;
 /// This long after its due time a run of an answered request is taken to be lost.
 const RUN_LOST: Duration = Duration::from_secs(60);
 
@@ -70,6 +72,7 @@
             }
             Notice::Refusal { command, handle } => {
                 self.counters.agent_refusals += 1;
+                self.log_refusal(&command, handle);
                 let Some(&id) = self.handles.get(&handle) else { return };
                 // Only a refused launch ends a run: it proves that none began.
                 if command == "launch" && self.live.get(&id).is_some_and(|l| l.phase == Phase::Running) {
@@ -79,6 +82,22 @@
         }
     }
 
+    /// The agent's own word that something came to it changed, or twice: with all that tells what it was.
+    fn log_refusal(&mut self, command: &str, handle: Handle) {
+        let live = self.handles.get(&handle).and_then(|id| self.live.get(id));
+        let about = live.map_or("its request is over".to_string(), |live| {
+            let class = &self.site.class_names[live.class];
+            let digest = keys::digest(class, &live.body);
+            format!(
+                "class {class}, body of {} bytes, digest {digest:016x}, {:?}",
+                live.body.len(),
+                live.phase
+            )
+        });
+        let command: String = command.chars().take(MOST_COMMAND).filter(|c| !c.is_control()).collect();
+        self.effects.push(Effect::Log(format!("the agent refused a {command}: {handle}, {about}")));
+    }
+
     pub(super) fn start(&mut self, now: Duration, id: RequestId) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let handle = live.handle;
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -16,6 +16,7 @@
 mod stand_in;
 mod system_calls;
 mod told;
+mod unchanged;
 mod upgrade;
 
 use std::io::{Read, Write};
--- a/tests/program/scripted.rs
+++ b/tests/program/scripted.rs
@@ -69,6 +69,7 @@
 pub struct Command {
     pub event: String,
     pub handle: String,
+    pub entry: String,
     pub ticket: String,
     pub cursor: u64,
     pub arg: Vec<u8>,
@@ -113,11 +114,12 @@
             let json: &HashMap<String, JsonValue> = json.get().unwrap();
             let text = |key: &str| json.get(key).and_then(|v| v.get::<String>()).cloned().unwrap_or_default();
             let cursor = json.get("cursor").and_then(|v| v.get::<f64>()).copied().unwrap_or_default();
-            let (event, handle, ticket) = (text("event"), text("handle"), text("ticket"));
+            let (event, handle, ticket, entry) =
+                (text("event"), text("handle"), text("ticket"), text("entry"));
             let is_unanswered = ticket.parse::<u64>().is_ok() || ticket.starts_with("ack-");
             if event != "sample" || !is_unanswered {
                 let arg = BASE64.decode(text("arg")).unwrap();
-                return Command { event, handle, ticket, cursor: cursor as u64, arg };
+                return Command { event, handle, entry, ticket, cursor: cursor as u64, arg };
             }
         }
     }
@@ -142,6 +144,19 @@
         }
     }
 
+    /// The next command that is about a run, which is to be this one.
+    pub fn expect_of_next(&mut self, event: &str) -> Command {
+        loop {
+            let command = self.command();
+            if command.event == "sample" {
+                self.mark(&command.ticket);
+                continue;
+            }
+            assert_eq!(command.event, event, "{command:?}");
+            return command;
+        }
+    }
+
     /// Answers the question that marks a place in the notices.
     pub fn sync(&mut self) -> String {
         let ticket = self.expect("sample").ticket;
--- /dev/null
+++ b/tests/program/unchanged.rs
@@ -0,0 +1,192 @@
+//! Classes, bodies, replies and lines reach the other side as they came, whatever happens on the way.
+
+use std::io::Write;
+
+use rstest::rstest;
+
+use crate::scripted::{Listener, Peer};
+use crate::stand_in::*;
+
+/// Bodies that a text protocol could trip over.
+fn bodies() -> Vec<Vec<u8>> {
+    let all: Vec<u8> = (0..=255).collect();
+    let call = b"\r\n0000000000000001 yes 2\r\nno\r\n".to_vec();
+    vec![Vec::new(), all.clone(), all.repeat(8), b"\"\\\"}\n{".to_vec(), call, vec![0; 2048]]
+}
+
+fn linked(vault: Option<&Listener>) -> (Listener, Program, Peer) {
+    let agent = Listener::start();
+    let vault = vault.map(|vault| vault.address);
+    let program = Program::start(Setup { agent: Some(agent.address), vault, ..Setup::default() });
+    let mut link = agent.link();
+    link.sync();
+    (agent, program, link)
+}
+
+#[test]
+fn bodies_of_any_bytes_pass_launch_call_reply_and_result_unchanged() {
+    let vault = Listener::start();
+    let (_agent, program, mut link) = linked(Some(&vault));
+    for (round, body) in bodies().into_iter().enumerate() {
+        let cursor = 10 * round as u64;
+        let mut stream = connect(program.http);
+        stream.write_all(&Ask::keyed(&format!("k{round}"), &body).http()).unwrap();
+        let launch = link.expect("launch");
+        assert_eq!(launch.arg, body);
+        link.calls(cursor + 1, &launch.handle, &body);
+        let mut call = vault.accept();
+        let (handle, _, asked) = call.ask();
+        assert_eq!((&handle, &asked), (&launch.handle, &body));
+        call.reply(&handle, &body);
+        assert_eq!(link.expect("deliver").arg, body);
+        link.ends(cursor + 2, &launch.handle, "complete", &body);
+        assert_eq!(read_answer(&mut stream).body, body);
+        let scgi = exchange(program.scgi, &Ask::keyed(&format!("k{round}"), &body).scgi());
+        assert_eq!(scgi.body, body, "the result that was kept, over the other front");
+    }
+    assert_eq!(program.counter("violations"), 0);
+}
+
+#[test]
+fn bodies_of_any_bytes_pass_an_upgrade_unchanged() {
+    let agent = Agent::start(2, std::time::Duration::from_millis(1), false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut kept = connect(program.http);
+    for (round, body) in bodies().into_iter().enumerate() {
+        kept.write_all(&Ask::keyed(&format!("k{round}"), &body).http()).unwrap();
+        assert_eq!(read_answer(&mut kept).body, [b"made:", &body[..]].concat());
+    }
+    // On a connection to the old process: passed on, and its answer passed back.
+    let new = program.successor(&agent, &agent.moved());
+    for (round, body) in bodies().into_iter().enumerate() {
+        let key = format!("k{round}");
+        let answer = exchange(new.http, &Ask::keyed(&key, &body).http());
+        assert_eq!(answer.body, [b"made:", &body[..]].concat(), "the result that was handed over");
+    }
+    let launches = agent.launches();
+    assert_eq!(launches.len(), bodies().len());
+    assert!(launches.iter().zip(bodies()).all(|((_, _, arg), body)| *arg == body));
+}
+
+#[test]
+fn a_class_whose_place_serves_another_one_keeps_its_name_to_the_end() {
+    // Guards against state that outlives a request and names its class by a place in a list.
+    let (_agent, program, mut link) = linked(None);
+    let mut open = connect(program.http);
+    let ask = Ask { patience_ms: 9_000, ..Ask::keyed("k", b"open") };
+    open.write_all(&ask.http()).unwrap();
+    let launch = link.expect("launch");
+    for (round, name) in ["first", "second", "third"].into_iter().enumerate() {
+        program.reload(&[("lobby-confirm".to_string(), name.to_string())]);
+        wait_for("the configuration", || {
+            program.log().matches("the configuration was read again").count() == round + 1
+        });
+        let mut stream = connect(program.http);
+        let class = Ask { class: name, ..Ask::keyed(&format!("k-{name}"), name.as_bytes()) };
+        stream.write_all(&class.http()).unwrap();
+        let other = link.expect_of_next("launch");
+        assert_eq!((other.entry.as_str(), &other.arg[..]), (name, name.as_bytes()));
+        link.ends(10 + round as u64, &other.handle, "complete", name.as_bytes());
+        assert_eq!(read_answer(&mut stream).body, name.as_bytes());
+    }
+    assert_eq!(launch.entry, "lobby-confirm");
+    link.ends(20, &launch.handle, "complete", b"kept");
+    assert_eq!(read_answer(&mut open).body, b"kept");
+}
+
+#[test]
+fn a_reply_to_a_call_that_was_given_up_or_a_second_copy_of_one_reaches_no_other_call() {
+    let vault = Listener::start();
+    let (_agent, program, mut link) = linked(Some(&vault));
+    // Of a class whose calls may share a connection, one after the other.
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask { patience_ms: 4_000, ..Ask::new("queue-status", b"a") }.http()).unwrap();
+    let first = link.expect("launch").handle;
+    link.calls(1, &first, b"one");
+    let mut call = vault.accept();
+    call.ask();
+    call.reply(&first, b"reply one");
+    assert_eq!(link.expect("deliver").arg, b"reply one");
+    // The second copy comes late on that connection; the next call of the request has one of its own.
+    call.reply(&first, b"reply one");
+    link.calls(2, &first, b"two");
+    let mut next = vault.accept();
+    assert_eq!(next.ask().2, b"two");
+    next.reply(&first, b"reply two");
+    assert_eq!(link.expect("deliver").arg, b"reply two");
+    link.ends(3, &first, "complete", b"done");
+    assert_eq!(read_answer(&mut stream).body, b"done");
+    assert_eq!(program.counter("violations"), 0);
+}
+
+#[rstest]
+#[case::class("launch")]
+#[case::reply("deliver")]
+fn a_refusal_of_the_agent_is_told_with_its_run_its_command_and_a_digest(#[case] command: &str) {
+    let (_agent, program, mut link) = linked(None);
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+    let handle = link.expect("launch").handle;
+    link.write(format!("{{\"event\":\"refusal\",\"fate\":\"{command}\",\"handle\":\"{handle}\"}}\n"));
+    program.wait_for_log(&format!("the agent refused a {command}: {handle}, class queue-status, body "));
+    assert_eq!(program.counter("agent_refusals"), 1);
+}
+
+#[test]
+fn two_new_addresses_in_a_row_end_at_the_newer_one() {
+    // Guards against a move that is asked for while the link before is being settled, and forgotten.
+    let (agent, program, mut link) = linked(None);
+    let (second, third) = (Listener::start(), Listener::start());
+    program.reload(&[(agent.address.to_string(), second.address.to_string())]);
+    // The old link is about to be settled: it asks for one more sample, which is not answered yet.
+    while link.command().ticket != "move" {}
+    program.reload(&[(agent.address.to_string(), third.address.to_string())]);
+    wait_for("the second configuration", || {
+        program.log().matches("the configuration was read again").count() == 2
+    });
+    link.mark("move");
+    let mut passed = second.link();
+    while let Some(line) = passed.line() {
+        if line.contains(r#""ticket":"move""#) {
+            passed.mark("move");
+        }
+    }
+    let mut link = third.link();
+    let mut stream = connect(program.http);
+    stream.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+    let handle = link.expect_of_next("launch").handle;
+    link.ends(1, &handle, "complete", b"moved twice");
+    assert_eq!(read_answer(&mut stream).body, b"moved twice");
+    assert_eq!(program.counter("links_lost"), 0);
+}
+
+#[test]
+fn half_a_command_is_never_one_and_is_the_last_on_its_link() {
+    // A link that breaks in the middle of a line: no beginning of a command is a command, so that whoever takes the rest
+    // of a link for a line reads none.
+    use hopwalk::core::Command;
+    use hopwalk::net::agent::encode;
+    let handle = "00000000000000ff".parse().unwrap();
+    let commands = [
+        Command::Launch {
+            handle,
+            class: "a\"b".into(),
+            arg: bodies()[1].clone().into(),
+            patience: std::time::Duration::from_secs(1),
+        },
+        Command::Deliver { handle, arg: bodies()[4].clone().into() },
+        Command::Forgo { handle, cursor: 12_345 },
+        Command::Freeze { handle },
+        Command::Sample { ticket: 12 },
+        Command::Acknowledge(17),
+    ];
+    for command in &commands {
+        let mut line = String::new();
+        encode(command, &mut line);
+        let whole = line.strip_suffix('\n').unwrap();
+        assert!(whole.parse::<tinyjson::JsonValue>().is_ok(), "{whole}");
+        for cut in 0..whole.len() {
+            assert!(whole[..cut].parse::<tinyjson::JsonValue>().is_err(), "{}", &whole[..cut]);
+        }
+    }
+}
