Fail the folders of voters for a while, and order a history's lines of one millisecond

The checker compared milliseconds and now compares lines, which is narrower: a request behind that line is held against the matcher (test of both orders).

--- a/src/lab/check.rs
+++ b/src/lab/check.rs
@@ -113,6 +113,8 @@
 
 struct Sent<'a> {
     t_ms: u64,
+    /// Its line of the history: of two lines of one millisecond the first came first.
+    line: usize,
     to: &'a str,
     due_ms: u64,
     answers: Vec<(u64, u16, Option<Passed>)>,
@@ -128,7 +130,8 @@
     }
     let mut sent: HashMap<&str, Sent> = HashMap::new();
     let mut order: Vec<&str> = Vec::new();
-    let mut lives: HashMap<&str, Vec<(u64, &str)>> = HashMap::new();
+    // What happened to each process: when, in which line, and what.
+    let mut lives: HashMap<&str, Vec<(u64, usize, &str)>> = HashMap::new();
     // When faults on the callers' link to a matcher began (true) and ended; a reset (none) lasts for its moment.
     let mut faulty: HashMap<&str, Vec<(u64, Option<bool>)>> = HashMap::new();
     let mut runs_of_id: HashMap<&str, HashSet<(&str, &str)>> = HashMap::new();
@@ -143,7 +146,7 @@
     // From when to when a processor kept a probe, and when a caller stopped waiting.
     let mut stalls: Vec<(u64, u64)> = Vec::new();
     let mut gone_at: HashMap<&str, u64> = HashMap::new();
-    for Record { t_ms, event } in records {
+    for (line, Record { t_ms, event }) in records.iter().enumerate() {
         match event {
             Event::Send { id, to, due_ms, key, .. } => {
                 verdict.sent += 1;
@@ -152,7 +155,7 @@
                     key_began.entry(key).or_insert(*t_ms);
                 }
                 order.push(id);
-                sent.insert(id, Sent { t_ms: *t_ms, to, due_ms: *due_ms, answers: Vec::new() });
+                sent.insert(id, Sent { t_ms: *t_ms, line, to, due_ms: *due_ms, answers: Vec::new() });
             }
             Event::Answer { id, status, passed } => {
                 *verdict.statuses.entry(*status).or_default() += 1;
@@ -178,7 +181,7 @@
                 }
             }
             Event::Changed { by, handle, what } => verdict.fault("changed", &format!("{handle}:{what}@{by}")),
-            Event::Process { name, what } => lives.entry(name).or_default().push((*t_ms, what)),
+            Event::Process { name, what } => lives.entry(name).or_default().push((*t_ms, line, what)),
             Event::Fault { kind, target, phase } => {
                 if let Some(matcher) = target.strip_prefix("callers-") {
                     let lasting = (kind != "reset").then_some(phase == "start");
@@ -199,18 +202,19 @@
             let matcher = pair[1].1.strip_prefix("agent-").unwrap_or(pair[1].1);
             let life = lives.get(matcher).map_or(&[][..], Vec::as_slice);
             pair[0].1 == pair[1].1
-                && life.iter().any(|(t, w)| *w == "kill" && (pair[0].0..=pair[1].0).contains(t))
+                && life.iter().any(|(t, _, w)| *w == "kill" && (pair[0].0..=pair[1].0).contains(t))
         })
     };
     for id in order {
         let s = &sent[id];
         let life = lives.get(s.to).map_or(&[][..], Vec::as_slice);
         let window =
-            |what: &str| life.iter().any(|(t, w)| *w == what && *t >= s.t_ms && *t <= s.due_ms + slack_ms);
-        let last_before = |what: &[&str]| life.iter().rev().find(|(t, w)| *t <= s.t_ms && what.contains(w));
-        let down = last_before(&["start", "kill"]).is_some_and(|(_, w)| *w == "kill");
+            |what: &str| life.iter().any(|(t, _, w)| *w == what && *t >= s.t_ms && *t <= s.due_ms + slack_ms);
+        let last_before =
+            |what: &[&str]| life.iter().rev().find(|(_, line, w)| *line < s.line && what.contains(w));
+        let down = last_before(&["start", "kill"]).is_some_and(|(_, _, w)| *w == "kill");
         let paused =
-            last_before(&["pause", "continue"]).is_some_and(|(_, w)| *w == "pause") || window("pause");
+            last_before(&["pause", "continue"]).is_some_and(|(_, _, w)| *w == "pause") || window("pause");
         let link = faulty.get(s.to).map_or(&[][..], Vec::as_slice);
         let in_force = link.iter().rev().find(|(t, lasting)| *t <= s.t_ms && lasting.is_some());
         let by_link = link
@@ -471,6 +475,19 @@
         assert_eq!(check_(&h, 100).counts["lost"], 1);
     }
 
+    #[test]
+    fn of_one_millisecond_the_first_line_came_first() {
+        // Guards against a request that met nobody being held against the process that starts behind it.
+        let life = |t, what: &str| at(t, Event::Process { name: "m1".into(), what: what.into() });
+        let dead = [life(0, "start"), life(5, "kill")];
+        let before = [&dead[..], &[send(20, "x", ""), life(20, "start")]].concat();
+        let after = [&dead[..], &[life(20, "start"), send(20, "x", "")]].concat();
+        for (history, lost) in [(before, 0), (after, 1)] {
+            let verdict = check_(&history, 100);
+            assert_eq!((verdict.counts["lost"], verdict.counts["lost_with_kill"]), (lost, 1 - lost));
+        }
+    }
+
     #[test]
     fn what_was_sent_to_a_dead_matcher_is_named_apart_until_it_starts_again() {
         let life = |t, what: &str| at(t, Event::Process { name: "m1".into(), what: what.into() });
--- a/src/lab/routes/faults.rs
+++ b/src/lab/routes/faults.rs
@@ -9,6 +9,7 @@
 use super::super::datagram::DatagramFaults;
 use super::super::history::Event;
 use super::super::net::Faults;
+use super::super::shim::Dial;
 use super::setup::record_folder;
 use super::{fleet_link, Lab, LabError};
 
@@ -54,6 +55,14 @@
         lost.map_err(|source| LabError::File { path, source })
     }
 
+    /// Turns dials of the system under a matcher.
+    ///
+    /// # Errors
+    /// [`LabError`] where there is no such matcher, or the lab has no faults of the system.
+    pub fn turn_system(&self, name: &str, dials: &[(Dial, i64)]) -> Result<(), LabError> {
+        self.matchers[self.at(name)?].turn(dials)
+    }
+
     /// Stops a matcher's process (SIGSTOP).
     ///
     /// # Errors
--- a/src/lab/routes/mod.rs
+++ b/src/lab/routes/mod.rs
@@ -31,6 +31,7 @@
 use super::run::{Heard, Matcher, KEY_WINDOW_MS, SLACK_MS};
 use super::scenario::{Scenario, MOST_SECONDS};
 use super::services::{Group, Service};
+use super::shim::Shim;
 use super::stand_in::{Agent, Control, Deadlines};
 use super::{check, check_routes, run, stall};
 use crate::told;
@@ -94,6 +95,8 @@
 
 /// A fleet that runs, under load.
 pub struct Lab {
+    /// Faults of the system under the matchers, where the setup asks for them.
+    shim: Option<Shim>,
     setup: Setup,
     folder: PathBuf,
     program: PathBuf,
@@ -139,6 +142,7 @@
         let history = Recorder::create(&folder.join("history.jsonl"))?;
         let control = Control::start().map_err(listen_error("the control plane"))?;
         let peers = PeerNet::start(setup.matchers, setup.seed).map_err(listen_error("the fleet's net"))?;
+        let shim = setup.system_faults.then(|| Shim::build(folder)).transpose().map_err(file)?;
         let group = Group::default();
         let mut services = Vec::new();
         for n in 0..=setup.services {
@@ -166,6 +170,7 @@
             watching: Arc::new(AtomicBool::new(true)),
             steer: Arc::default(),
             loader: None,
+            shim,
             setup,
         };
         stall::watch(&lab.history, &lab.watching);
@@ -208,7 +213,7 @@
         let of_all = run::config(&name, seed, control.address, agent.address, vault);
         let appliance = setup::appliance(&self.setup, &self.peers, m, &self.links, &self.folder);
         let mut matcher = Matcher {
-            shim: None,
+            shim: self.shim.clone(),
             faults: None,
             name: name.clone(),
             config: setup::config(&of_all, http, other_class).to_string(),
--- a/src/lab/routes/setup.rs
+++ b/src/lab/routes/setup.rs
@@ -51,6 +51,8 @@
     pub clocks: BTreeMap<String, WrongClock>,
     /// Matchers whose settings have a class more than the others', so that they refuse a table without it.
     pub other_classes: Vec<String>,
+    /// The matchers run with a library by which system calls fail.
+    pub system_faults: bool,
     /// What matchers log, as `RELAY_LOG` takes it.
     pub logs: String,
 }
@@ -76,6 +78,7 @@
             work_ms: 30,
             clocks: BTreeMap::new(),
             other_classes: Vec::new(),
+            system_faults: false,
             logs: run::logs(),
         }
     }
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -198,7 +198,7 @@
     }
 
     /// Turns dials of the system under it.
-    fn turn(&self, dials: &[(Dial, i64)]) -> Result<(), LabError> {
+    pub(super) fn turn(&self, dials: &[(Dial, i64)]) -> Result<(), LabError> {
         let Some(faults) = &self.faults else { return Err(self.wrong("runs without a shim".into())) };
         for (dial, value) in dials {
             let file = |source| LabError::File { path: self.folder.clone(), source };
