Read stamps of callers whose clock takes no part in a step

Seen by reading, then by a test: where only this machine's clock is set forward, each caller's stamp looked as old as the step. A stamp that only a clock of before the step can have made, behind the step, shows it; the callers' clock is then kept apart from this one's.

--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -2,7 +2,8 @@
 //!
 //! Deadlines, windows and graces are spans of real time, counted on the system's monotonic clock. Others state times of
 //! the wall clock, which may be stepped at any moment. So each step is noted, with the time around it; a stamp is read by
-//! the wall clock as it was when it was made: a time after a step cannot have been stamped by the clock of before.
+//! the wall clock as it was when it was made: a time after a step cannot have been stamped by the clock of before. A stamp
+//! that was, all the same, shows that the callers' own clock took no part in the step.
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -35,6 +36,8 @@
 pub struct WallClock {
     /// The newest last.
     epochs: VecDeque<Epoch>,
+    /// The same for the clock by which callers stamp, without steps that it took no part in.
+    callers: VecDeque<Epoch>,
     observed: Duration,
 }
 
@@ -42,6 +45,13 @@
     i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
 }
 
+fn push_bounded(epochs: &mut VecDeque<Epoch>, epoch: Epoch) {
+    epochs.push_back(epoch);
+    if epochs.len() > MOST_STEPS {
+        epochs.pop_front();
+    }
+}
+
 /// A time in signed microseconds; before the epoch there is none.
 fn from_micros(us: i64) -> Duration {
     Duration::from_micros(u64::try_from(us).unwrap_or_default())
@@ -53,11 +63,12 @@
         let offset_us = micros(wall).saturating_sub(micros(now));
         match self.epochs.back_mut() {
             Some(epoch) if (offset_us - epoch.offset_us).abs() < LEAST_STEP_US => epoch.offset_us = offset_us,
-            _ => {
-                self.epochs.push_back(Epoch { offset_us, after: self.observed, by: now });
-                if self.epochs.len() > MOST_STEPS {
-                    self.epochs.pop_front();
-                }
+            before => {
+                let step_us = before.map_or(0, |epoch| offset_us - epoch.offset_us);
+                let callers_us = self.callers.back().map_or(offset_us, |epoch| epoch.offset_us + step_us);
+                let (after, by) = (self.observed, now);
+                push_bounded(&mut self.epochs, Epoch { offset_us, after, by });
+                push_bounded(&mut self.callers, Epoch { offset_us: callers_us, after, by });
             }
         }
         self.observed = now;
@@ -68,11 +79,11 @@
         self.epochs.len().saturating_sub(1)
     }
 
-    /// When a moment that lies in the past by now was, which the wall clock showed as `stamp`.
-    pub fn past(&self, stamp: Duration, now: Duration) -> Duration {
-        let Some(newest) = self.epochs.back() else { return stamp.min(now) };
+    /// When a moment that lies in the past by now was, which a caller stamped so.
+    pub fn past(&mut self, stamp: Duration, now: Duration) -> Duration {
+        let Some(&newest) = self.callers.back() else { return stamp.min(now) };
         let mut end = now;
-        for (place, epoch) in self.epochs.iter().enumerate().rev() {
+        for (place, epoch) in self.callers.iter().enumerate().rev() {
             let at = micros(stamp).saturating_sub(epoch.offset_us);
             let is_after = place == 0 || at >= micros(epoch.after) - LEAST_STEP_US;
             if is_after && at <= micros(end) + LEAST_STEP_US {
@@ -80,10 +91,27 @@
             }
             end = epoch.by;
         }
+        if let Some(at) = self.past_unstepped(stamp, newest, now) {
+            return at;
+        }
         // Of no time that is known: a clock elsewhere runs ahead.
         from_micros(micros(stamp).saturating_sub(newest.offset_us)).min(now)
     }
 
+    /// When a stamp was made that only a clock of before the last step can have made, behind that step: the callers' clock
+    /// was not stepped, and is not taken for stepped any more.
+    fn past_unstepped(&mut self, stamp: Duration, newest: Epoch, now: Duration) -> Option<Duration> {
+        let earlier = self.callers.len().checked_sub(1)?;
+        for place in (0..earlier).rev() {
+            let at = micros(stamp).saturating_sub(self.callers[place].offset_us);
+            if at >= micros(newest.after) && at <= micros(now) + LEAST_STEP_US {
+                self.callers.truncate(place + 1);
+                return Some(from_micros(at).min(now));
+            }
+        }
+        None
+    }
+
     /// When a moment may be at the latest that lies in the future, and which another process wrote as `stamp` a moment ago:
     /// the wall clock may have been stepped in between.
     pub fn future(&self, stamp: Duration, now: Duration) -> Duration {
@@ -134,7 +162,8 @@
 
     /// When a caller's stamp of the wall clock was made.
     pub fn past(&self, stamp: Duration) -> Duration {
-        self.observe().past(stamp, self.now())
+        let mut wall = self.observe();
+        wall.past(stamp, self.now())
     }
 
     /// When a moment in the future is that another process wrote down just now.
--- a/tests/program/clock.rs
+++ b/tests/program/clock.rs
@@ -59,6 +59,8 @@
     }
     // Stamped before the step, and read after it.
     assert_eq!(exchange(program.http, &of_before.http()).body, b"made:a");
+    // Stamped by a clock that took no part in the step.
+    assert_eq!(exchange(program.http, &ask().http()).body, b"made:a");
     step(&program, 0);
     assert_eq!(exchange(program.http, &ask().http()).body, b"made:a");
 }
--- a/tests/wall_clock.rs
+++ b/tests/wall_clock.rs
@@ -31,7 +31,7 @@
     #[values(-HOUR_MS, -2_000, 2_000, HOUR_MS)] by_ms: i64,
     #[values(0, 500, 990, 1_010, 1_500, 1_990)] made: u64,
 ) {
-    let clock = stepped(by_ms, 2_000);
+    let mut clock = stepped(by_ms, 2_000);
     let offset_ms = if made > 1_000 { by_ms } else { 0 };
     let read = clock.past(shown(made, offset_ms), ms(2_000));
     // A step back has times that the wall clock shows twice: the younger reading counts.
@@ -43,7 +43,7 @@
 
 #[test]
 fn a_stamp_of_before_the_start_keeps_its_age_and_one_of_the_future_is_of_now() {
-    let clock = stepped(0, 2_000);
+    let mut clock = stepped(0, 2_000);
     let early = Duration::from_millis(START_MS - 30_000);
     assert_eq!(clock.past(early, ms(2_000)), early);
     assert_eq!(clock.past(shown(2_000, HOUR_MS), ms(2_000)), ms(2_000));
@@ -82,3 +82,25 @@
     assert!(clock.steps() < 20);
     assert_eq!(clock.past(shown(98_500, 98 * 5_000), ms(99_000)), ms(98_500));
 }
+
+#[rstest]
+fn callers_whose_clock_takes_no_part_in_a_step_are_read_as_before(
+    #[values(-HOUR_MS, -2_000, 2_000, HOUR_MS)] by_ms: i64,
+) {
+    // Guards against an age of a whole step where only this machine's clock was set.
+    let mut clock = stepped(by_ms, 1_500);
+    for made in [1_450, 1_500] {
+        assert_eq!(clock.past(shown(made, 0), ms(1_500)), ms(made));
+    }
+    for at in (1_600..=20_000).step_by(100) {
+        clock.observe(ms(at), shown(at, by_ms));
+    }
+    assert_eq!(clock.past(shown(19_900, 0), ms(20_000)), ms(19_900), "long after the step as well");
+    // This machine's own times go by its own clock.
+    assert_eq!(clock.shown_at(ms(20_000)), shown(20_000, by_ms));
+    // And the next step may be one that they take part in.
+    for at in (20_100..=21_000).step_by(100) {
+        clock.observe(ms(at), shown(at, by_ms + 5_000));
+    }
+    assert_eq!(clock.past(shown(20_950, 5_000), ms(21_000)), ms(20_950));
+}
