Find the process that runs though a connect fails, and read on where a close is interrupted

By reading for the same class: a new version whose connect to the one that runs failed for a moment took it for none, and ended as its address was in use; EINTR ended the reading of what crosses a close, so that the close reset it. Sockets at a start are asked for again. Test: system_calls::a_new_version_takes_over_while_system_calls_fail.

--- a/src/net/at_start.rs
+++ b/src/net/at_start.rs
@@ -1,4 +1,4 @@
-//! Listeners at a start, where the system may lack descriptors or memory for a moment.
+//! Sockets at a start, where the system may lack descriptors, memory or ways for a moment.
 
 use std::io;
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Opens a listener. What will not mend itself, as an address in use, is told at once.
+/// Opens a socket. What will not mend itself, as an address in use or nobody who listens, is told at once.
 ///
 /// # Errors
 /// What the system says, at last.
@@ -19,7 +19,7 @@
     loop {
         match open() {
             Err(e) if is_for_a_moment(&e) && since.elapsed() < PATIENCE => {
-                warn!("a listener cannot be opened yet: {e}");
+                warn!("a socket cannot be opened yet: {e}");
                 std::thread::sleep(PAUSE);
             }
             done => return done,
@@ -28,6 +28,15 @@
 }
 
 fn is_for_a_moment(e: &io::Error) -> bool {
-    let lacking = [Errno::ENFILE, Errno::EMFILE, Errno::ENOBUFS, Errno::ENOMEM, Errno::EINTR];
+    let lacking = [
+        Errno::ENFILE,
+        Errno::EMFILE,
+        Errno::ENOBUFS,
+        Errno::ENOMEM,
+        Errno::EINTR,
+        Errno::EAGAIN,
+        Errno::ECONNABORTED,
+        Errno::ENETUNREACH,
+    ];
     e.raw_os_error().is_some_and(|code| lacking.contains(&Errno::from_raw(code)))
 }
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -5,7 +5,7 @@
 //! is read and thrown away for a moment, and only then the descriptor is closed. Whether there is anything left to
 //! answer is decided before the first step, by the owner of the connection ([`super::front`]).
 
-use std::io::Read;
+use std::io::{self, Read};
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -46,6 +46,7 @@
         bytes.clear();
         match read_some(stream, &mut bytes) {
             Ok(read) if read > 0 => discarded += read,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             _ => return,
         }
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -16,6 +16,7 @@
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
+use nix::errno::Errno;
 use nix::sys::socket::getsockopt;
 use nix::sys::socket::sockopt::PeerCredentials;
 use tracing::{info, warn};
@@ -198,9 +199,19 @@
     hub.push(Input::Succession(gone));
 }
 
+/// A local socket has no address that could be lacking: where the system says so, it is for a moment.
+fn as_for_a_moment(e: io::Error) -> io::Error {
+    match e.kind() {
+        io::ErrorKind::AddrNotAvailable => Errno::ENOBUFS.into(),
+        _ => e,
+    }
+}
+
 /// Connects to the process that serves already, if there is one.
 pub(super) fn find(path: &Path, hub: &Arc<Hub>) -> Option<Partner> {
-    let stream = UnixStream::connect(path).ok()?;
+    // Only where nobody listens is there no process: one that is there and not found would keep this one from starting.
+    let connected = at_start::open(|| UnixStream::connect(path).map_err(as_for_a_moment));
+    let stream = connected.ok()?;
     let partner = Partner::default();
     let started = stream.try_clone().and_then(|reads| {
         partner.open(stream)?;
--- a/tests/program/system_calls.rs
+++ b/tests/program/system_calls.rs
@@ -85,6 +85,20 @@
     assert!(program.end().success());
 }
 
+#[test]
+fn a_new_version_takes_over_while_system_calls_fail() {
+    // Guards against a new process that does not find the one that runs, and ends as its address is in use.
+    let agent = Agent::start(2, QUICK, false);
+    let old = start(&agent);
+    assert_eq!(exchange(old.http, &Ask::keyed("k", b"x").http()).body, b"made:x");
+    turn(&old, &[(Dial::Connect, 500), (Dial::Interrupt, 200), (Dial::Short, 300), (Dial::Accept, 200)]);
+    let new = old.successor(&agent, &agent.moved());
+    assert!(new.log().contains("takes over from the process that runs"), "{}", new.log());
+    assert_eq!(exchange(new.http, &Ask::keyed("k", b"x").http()).body, b"made:x");
+    assert_eq!(agent.launches().len(), 1, "the key came along");
+    assert_eq!((old.counter("violations"), new.counter("violations")), (0, 0));
+}
+
 #[test]
 fn connections_that_break_at_any_call_leave_nothing_behind() {
     // Guards against a broken connection that shows as a time that ran out, and is read again without end.
