--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod lost_link;
+mod stop;
 mod succession;
 
 use std::sync::Arc;
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -14,6 +14,7 @@
 mod scripted;
 mod signals;
 mod stand_in;
+mod stops;
 mod system_calls;
 mod told;
 mod unchanged;
--- /dev/null
+++ b/tests/program/stops.rs
@@ -0,0 +1,79 @@
+//! The stop of a process whose link to the agent breaks: what it has read is answered before it is killed.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use crate::scripted::{Listener, Peer};
+use crate::stand_in::*;
+
+/// From the notice to the kill.
+const STOP_MS: u64 = 1_200;
+/// Callers wait for longer than that.
+const PATIENCE_MS: u64 = 2_900;
+
+/// When the link breaks whose last command is a launch.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Break {
+    BeforeTheNotice,
+    AfterTheNotice,
+}
+
+/// Whether anything has come on a connection by `until`.
+fn is_answered_by(stream: &mut TcpStream, until: Instant) -> bool {
+    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    stream.set_read_timeout(Some(left)).unwrap();
+    stream.read(&mut [0; 512]).is_ok_and(|read| read > 0)
+}
+
+fn send(program: &Program, ask: &Ask) -> TcpStream {
+    let mut stream = connect(program.http);
+    stream.write_all(&ask.http()).unwrap();
+    stream
+}
+
+/// Breaks the link, and has the next one settle what is in doubt.
+fn break_link(agent: &Listener, link: Peer) -> Peer {
+    link.cut();
+    let mut next = agent.link();
+    next.sync();
+    next
+}
+
+/// A launch of what must run once is in doubt, and another try of its key waits for it. Whether both callers have an
+/// answer by the kill.
+fn is_answered_where_a_launch_is_in_doubt(when: Break) -> [bool; 2] {
+    let agent = Listener::start();
+    let setup = Setup { agent: Some(agent.address), stop_ms: Some(STOP_MS), ..Setup::default() };
+    let program = Program::start(setup);
+    let mut link = agent.link();
+    link.sync();
+    let ask = Ask { patience_ms: PATIENCE_MS, ..Ask::keyed("k", b"a") };
+    let mut first = send(&program, &ask);
+    link.expect_of_next("launch");
+    let mut second = send(&program, &ask);
+    wait_for("the second try", || program.counter("repeats") == 1);
+    if when == Break::BeforeTheNotice {
+        link = break_link(&agent, link);
+        program.wait_for_log("are settled");
+    }
+    let killed = Instant::now() + Duration::from_millis(STOP_MS);
+    program.signal("TERM");
+    if when == Break::AfterTheNotice {
+        program.wait_for_log("leaving");
+        link = break_link(&agent, link);
+        program.wait_for_log("are settled");
+    }
+    let answered = [&mut first, &mut second].map(|stream| is_answered_by(stream, killed));
+    drop(link);
+    answered
+}
+
+#[test]
+fn callers_of_a_run_whose_launch_is_in_doubt_are_answered_before_the_stop() {
+    // Guards against the incident of 2 December 2026 at the stop: the module was told that the run is over, and the
+    // callers waited for their due time, which came after the kill.
+    for when in [Break::BeforeTheNotice, Break::AfterTheNotice] {
+        assert_eq!(is_answered_where_a_launch_is_in_doubt(when), [true, true], "{when:?}");
+    }
+}
