Measure the lab's own lateness, and read only the agent's newest link

The load tool runs on one worker that got a tenth of a processor: 842 connections closed without an answer had been silent for over a second, which matchers may close; the probes of the processors sleep, and the system runs sleepers at once, so that they saw nothing.

Change: the history tells when the tool or its net brought a request late or not at all, how long its own probe took, and how long the system kept each matcher's threads waiting for a processor, by its books; the checker excuses by these spans only, and calls a play void whose probe took 250 ms.

--- a/src/lab/history.rs
+++ b/src/lab/history.rs
@@ -12,6 +12,9 @@
 //!   `reply`: a run got the reply to another call; `again`: a run that must not be repeated was launched after its end);
 //! - `not_taken`: `id`, `why` (the request never reached the matcher: its connection was refused, or crossed a close of the
 //!   matcher's within the time in which gateways send it again; where it is sent again, that is a try with an id of its own);
+//! - `brought`: `id`, `at_ms` (the load tool, or its net, wrote the request's last bytes to the matcher only then: 20 ms or
+//!   more after it noted it as sent); `not_handed_on`: `id` (the net wrote none of it, or not all);
+//! - `run_delay`: `of` (matcher), `from_ms`, `ms` (from then up to `t_ms` its threads together waited so long for a processor);
 //! - `echo`: `ms` (the load tool took so long to ask and hear a stand-in of its own, up to `t_ms`);
 //! - `process`: `name`, `what` (`spawn`, `start` once callers reach it, `stop` at the notice to leave, `stop_kill` at the
 //!   platform's kill after it, any other `kill`, `pause`, `continue`, `exit`, and the names of further signals);
@@ -71,6 +74,12 @@
     Gone { id: String, why: String },
     /// A request never reached its matcher.
     NotTaken { id: String, why: String },
+    /// The load tool, or its net, brought the last bytes of a request only at `at_ms`.
+    Brought { id: String, at_ms: u64 },
+    /// The net handed nothing whole of a request on.
+    NotHandedOn { id: String },
+    /// Since `from_ms`, the threads of a matcher together waited `ms` for a processor.
+    RunDelay { of: String, from_ms: u64, ms: u64 },
     /// The load tool took `ms` up to now to ask a stand-in of its own and to hear the answer.
     Echo { ms: u64 },
     /// An agent began a run.
@@ -197,6 +206,9 @@
         Event::Gone { id, why } => info!(t_ms, event = "gone", id, why),
         Event::NotTaken { id, why } => info!(t_ms, event = "not_taken", id, why),
         Event::Echo { ms } => info!(t_ms, event = "echo", ms),
+        Event::RunDelay { of, from_ms, ms } => info!(t_ms, event = "run_delay", of, from_ms, ms),
+        Event::Brought { id, at_ms } => info!(t_ms, event = "brought", id, at_ms),
+        Event::NotHandedOn { id } => info!(t_ms, event = "not_handed_on", id),
         Event::Run { id, key, by, handle } => info!(t_ms, event = "run", id, key, by, handle),
         Event::Changed { by, handle, what } => info!(t_ms, event = "changed", by, handle, what),
         Event::Process { name, what } => info!(t_ms, event = "process", name, what),
@@ -252,6 +264,9 @@
         "gone" => Event::Gone { id: text("id")?, why: text("why")? },
         "not_taken" => Event::NotTaken { id: text("id")?, why: text("why")? },
         "echo" => Event::Echo { ms: number("ms")? },
+        "run_delay" => Event::RunDelay { of: text("of")?, from_ms: number("from_ms")?, ms: number("ms")? },
+        "brought" => Event::Brought { id: text("id")?, at_ms: number("at_ms")? },
+        "not_handed_on" => Event::NotHandedOn { id: text("id")? },
         "run" => Event::Run { id: text("id")?, key: text("key")?, by: text("by")?, handle: text("handle")? },
         "changed" => Event::Changed { by: text("by")?, handle: text("handle")?, what: text("what")? },
         "process" => Event::Process { name: text("name")?, what: text("what")? },
@@ -330,6 +345,9 @@
             Event::Stall { cpu: 3, ms: 250 },
             Event::NotTaken { id: "c".into(), why: "refused".into() },
             Event::Echo { ms: 60 },
+            Event::RunDelay { of: "m1".into(), from_ms: 5, ms: 30 },
+            Event::Brought { id: "c".into(), at_ms: 70 },
+            Event::NotHandedOn { id: "c".into() },
             Event::Fault { kind: "cut".into(), target: "m1-vault".into(), phase: "start".into() },
             Event::Call {
                 service: "b".into(),
--- a/src/lab/matcher.rs
+++ b/src/lab/matcher.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 
 use super::history::{Event, Recorder, STOP_KILL};
 use super::routes::LabError;
+use super::run_delay::ProcessId;
 use super::shim::{Dial, Faults as SystemFaults, Shim};
 
 /// What matchers log: of the replicated log's own words only what this program says of them.
@@ -44,6 +46,8 @@
     /// Is told of each line of the log.
     pub heard: Option<Heard>,
     pub child: Option<Child>,
+    /// The process that was started last.
+    pub process: ProcessId,
     pub starts: u32,
     pub log: Arc<Mutex<VecDeque<String>>>,
     pub http: SocketAddr,
@@ -146,6 +150,7 @@
             }
         });
         history.record(Event::Process { name: self.name.clone(), what: "spawn".into() });
+        self.process.store(child.id(), Ordering::Relaxed);
         self.child = Some(child);
         Ok(listening)
     }
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -18,6 +18,7 @@
 pub mod routes;
 pub mod routes_report;
 pub mod run;
+pub mod run_delay;
 pub mod scenario;
 mod scenario_error;
 pub mod services;
--- a/src/lab/routes/handover.rs
+++ b/src/lab/routes/handover.rs
@@ -64,6 +64,7 @@
             beside: Some(beside),
             heard: runs.heard.clone(),
             child: None,
+            process: Arc::default(),
             starts: killed.fold(runs.starts, u32::max),
             log: Arc::default(),
             http: runs.http,
--- a/src/lab/routes/mod.rs
+++ b/src/lab/routes/mod.rs
@@ -223,6 +223,7 @@
             beside: None,
             heard: Some(self.hears(&name)),
             child: None,
+            process: Arc::default(),
             starts: 0,
             log: Arc::new(Mutex::new(VecDeque::new())),
             http,
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -21,6 +21,7 @@
 use super::matcher::{logs, Matcher};
 use super::net::{Faults, Link, Passages};
 use super::routes::{listen_error, LabError};
+use super::run_delay;
 use super::scenario::{Action, Scenario};
 use super::shim::{Dial, Shim};
 use super::site::SiteOptions;
@@ -147,6 +148,7 @@
             beside: None,
             heard: None,
             child: None,
+            process: Arc::default(),
             starts: 0,
             log,
             http: ([127, 0, 0, 1], 0).into(),
@@ -177,6 +179,8 @@
             .map(|m| if scenario.direct { m.http } else { links[&format!("callers-{}", m.name)].address })
             .collect(),
     ));
+    let processes = matchers.iter().map(|m| (m.name.clone(), m.process.clone())).collect();
+    run_delay::watch(&history, processes, &watching);
     let stop = Arc::new(AtomicBool::new(false));
     let clocks = Arc::new(Clocks::default());
     let began = Instant::now();
--- a/src/lab/stand_in.rs
+++ b/src/lab/stand_in.rs
@@ -56,6 +56,8 @@
     ended: HashSet<String>,
     notices: Vec<String>,
     link: Option<TcpStream>,
+    /// The number of that link: a new one replaces the one before.
+    link_number: u64,
 }
 
 /// A stand-in for the agent: `cores` runs at a time, each of the length of `work`.
@@ -234,6 +236,7 @@
     fn link(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reads) = stream.try_clone() else { return };
+        let mut number = None;
         for line in BufReader::new(reads).lines() {
             let Ok(line) = line else { return };
             // A line that a fault cut short ends the link, as a broken link would.
@@ -242,6 +245,11 @@
             let Ok(arg) = BASE64.decode(text(json, "arg")) else { return };
             let handle = text(json, "handle").to_string();
             let mut told = self.told.lock().unwrap();
+            // What is still there of a link that was replaced is not read: a slow reader would take up an old command
+            // behind newer ones.
+            if number.is_some_and(|number| number != told.link_number) {
+                return;
+            }
             match text(json, "event") {
                 "subscribe" => {
                     let Some(cursor) = json.get("cursor").and_then(|c| c.get::<f64>()) else { return };
@@ -254,6 +262,8 @@
                         return;
                     }
                     told.link = Some(link);
+                    told.link_number += 1;
+                    number = Some(told.link_number);
                 }
                 // As the protocol has it, a launch of what runs already does nothing; it keeps no results, and what ended
                 // would run again.
--- a/src/main.rs
+++ b/src/main.rs
@@ -301,7 +301,11 @@
         verdict.counts.iter().for_each(|(rule, n)| *counts.entry(rule).or_default() += n);
     }
     let unclean = all.iter().filter(|s| !s.clean()).count();
-    println!("{} scenarios from seed {seed}, {sent} requests sent, {unclean} not clean", all.len());
+    let void = all.iter().filter(|s| s.verdict.as_ref().is_ok_and(lab::check::Verdict::void)).count();
+    println!(
+        "{} scenarios from seed {seed}, {sent} requests sent, {unclean} not clean, {void} void",
+        all.len()
+    );
     lab::check::RULES.iter().for_each(|rule| println!("{rule:<20} {:>7}", counts.get(rule).unwrap_or(&0)));
     Ok(unclean == 0)
 }
--- a/tests/lab_check.rs
+++ b/tests/lab_check.rs
@@ -308,3 +308,53 @@
         assert_eq!((check_(&h, 100).counts["run_again_after_kill"], check_(&h, 100).breaks()), (1, 0));
     }
 }
+
+#[test]
+fn what_the_load_tool_brought_late_is_named_apart_and_a_matcher_has_its_slack_from_then_on() {
+    let brought = |at_ms| at(at_ms, Event::Brought { id: "x".into(), at_ms });
+    // Due at 1000: brought at 1500, the matcher has until 1600.
+    for (brought_ms, answered, late) in [(1_500, 1_600, 0), (1_500, 1_601, 1), (900, 1_101, 1)] {
+        let history = [send(0, "x", ""), brought(brought_ms), answer(answered, "x", 200)];
+        let verdict = check_(&history, 100);
+        assert_eq!((verdict.counts["late"], verdict.counts["held_by_lab"]), (late, 1 - late));
+    }
+    let gone = |t, why: &str| at(t, Event::Gone { id: "x".into(), why: why.into() });
+    let not_handed_on = at(2_000, Event::NotHandedOn { id: "x".into() });
+    let verdict = check_(&[send(0, "x", ""), not_handed_on, gone(2_500, "no answer in time")], 100);
+    assert_eq!((verdict.counts["lost"], verdict.counts["held_by_lab"]), (0, 1));
+}
+
+#[test]
+fn a_connection_that_closes_under_a_request_is_a_loss_unless_the_load_tool_was_late_to_see_it() {
+    let gone = |t| at(t, Event::Gone { id: "x".into(), why: "closed without an answer".into() });
+    let echo = |t, ms| at(t, Event::Echo { ms });
+    for (more, gone_ms, lost) in
+        [(vec![], 30, 1), (vec![echo(30, 60)], 30, 1), (vec![], 300, 1), (vec![echo(290, 250)], 300, 0)]
+    {
+        let verdict = check_(&[&[send(0, "x", "")], &more[..], &[gone(gone_ms)]].concat(), 100);
+        assert_eq!((verdict.counts["lost"], verdict.counts["held_by_lab"]), (lost, 1 - lost), "{gone_ms}");
+    }
+}
+
+#[test]
+fn what_a_matcher_waited_for_a_processor_is_named_apart_and_only_that() {
+    let waited = |of: &str, from_ms, t, ms| at(t, Event::RunDelay { of: of.into(), from_ms, ms });
+    let judge = |delay: Record| {
+        let verdict = check_(&[send(0, "x", ""), delay, answer(1_400, "x", 200)], 100);
+        (verdict.counts["late"], verdict.counts["held_by_machine"])
+    };
+    // Due at 1000, with the slack at 1100: 300 ms late.
+    assert_eq!(judge(waited("m1", 500, 900, 300)), (0, 1));
+    assert_eq!(judge(waited("m1", 500, 900, 299)), (1, 0));
+    // Another matcher's, and the part behind the answer, excuse nothing.
+    assert_eq!(judge(waited("m2", 500, 900, 300)), (1, 0));
+    assert_eq!(judge(waited("m1", 1_300, 1_500, 500)), (1, 0));
+}
+
+#[test]
+fn a_play_whose_load_tool_was_held_up_is_void_and_what_it_breaks_still_counts() {
+    let echo = |ms| at(1_000, Event::Echo { ms });
+    assert!(!check_(&[echo(249)], 100).void());
+    let verdict = check_(&[send(0, "x", ""), echo(250)], 100);
+    assert!(verdict.void() && !verdict.clean() && verdict.table().contains("void"));
+}
