--- a/src/lab/routes/mod.rs
+++ b/src/lab/routes/mod.rs
@@ -4,6 +4,7 @@
 //! Each ordered pair of a member and a voter has a [`Link`] of its own to the voter's record, which the member is told as
 //! that voter's address; datagrams between members go through a [`PeerNet`]. Services below are reached directly.
 
+mod calls;
 pub mod door;
 pub mod error;
 mod faults;
@@ -382,115 +383,11 @@
         found.ok_or_else(|| LabError::Unknown { name: name.to_string() })
     }
 
-    fn look(
-        &self,
-        name: &str,
-        method: &str,
-        path: &str,
-        body: &str,
-        patience: Duration,
-    ) -> Result<(u16, String), LabError> {
-        door::call(self.door(name)?, method, path, body, patience)
-    }
-
-    fn door(&self, name: &str) -> Result<SocketAddr, LabError> {
-        let door = *self.matchers[self.at(name)?].door.lock().unwrap_or_else(PoisonError::into_inner);
-        door.ok_or_else(|| LabError::NoDoor { name: name.to_string() })
-    }
-
-    /// Orders something at a matcher's door, and records it: `propose`, `activate`, `abort`, `rollback`, `admit`, `start`,
-    /// `stop`. Any status is an answer.
-    ///
-    /// # Errors
-    /// [`LabError`] where no answer came.
-    pub fn order(&self, at: &str, what: &str, body: &str) -> Result<(u16, String), LabError> {
-        self.order_beside(at, what, body)?.join().unwrap_or(Ok((0, "the thread failed".into())))
-    }
-
-    /// The same from a thread of its own.
-    ///
-    /// # Errors
-    /// [`LabError`] where there is no such matcher or it has no door.
-    pub fn order_beside(&self, at: &str, what: &str, body: &str) -> Result<Ordered, LabError> {
-        let path = match what {
-            "admit" => "/fleet/record/admit".to_string(),
-            "start" | "stop" => format!("/fleet/experiment/{what}"),
-            _ => format!("/fleet/routes/{what}"),
-        };
-        let (door, history) = (self.door(at)?, self.history.clone());
-        let (at, what, body) = (at.to_string(), what.to_string(), body.to_string());
-        Ok(thread::spawn(move || {
-            let answer = door::call(door, "POST", &path, &body, DOOR);
-            let (status, told) = match &answer {
-                Ok((status, told)) => (*status, told.clone()),
-                Err(e) => (0, e.to_string()),
-            };
-            history.record(Event::Order { at, what, status, told });
-            answer
-        }))
-    }
-
-    /// The same, for an order that is to be carried out; what came back, as JSON.
-    ///
-    /// # Errors
-    /// [`LabError::Order`] for another status than 200.
-    pub fn done(&self, at: &str, what: &str, body: &str) -> Result<Value, LabError> {
-        match self.order(at, what, body)? {
-            (200, told) => Ok(serde_json::from_str(&told).unwrap_or_default()),
-            (status, told) => Err(LabError::Order { at: at.into(), what: what.into(), status, told }),
-        }
-    }
-
-    /// What a matcher says of the routes; nothing while it does not answer.
-    pub fn show(&self, at: &str) -> Option<Value> {
-        match self.look(at, "GET", "/fleet/routes", "", LOOK) {
-            Ok((200, told)) => serde_json::from_str(&told).ok(),
-            _ => None,
-        }
-    }
-
-    /// The `experiment` document, as a matcher learns it from the leader.
-    pub fn experiments(&self, at: &str) -> Option<Value> {
-        match self.look(at, "GET", "/fleet/experiment", "", LOOK) {
-            Ok((200, told)) => serde_json::from_str(&told).ok(),
-            _ => None,
-        }
-    }
-
-    /// How a matcher sees its fleet; nothing while it does not answer, or is not joined.
-    pub fn members(&self, at: &str) -> Option<Value> {
-        match self.look(at, "GET", "/fleet", "", LOOK) {
-            Ok((200, told)) => serde_json::from_str(&told).ok(),
-            _ => None,
-        }
-    }
-
-    /// Has a matcher keep callers away (`POST /drain`).
-    ///
-    /// # Errors
-    /// [`LabError`] where no answer came.
-    pub fn drain(&self, at: &str) -> Result<(), LabError> {
-        self.look(at, "POST", "/drain", "", LOOK).map(drop)
-    }
-
     /// Changes what callers send, from the next arrival on.
     pub fn steer(&self, steer: Steer) {
         *self.steer.lock().unwrap_or_else(PoisonError::into_inner) = steer;
     }
 
-    /// How activations ended, as a matcher learns it from the leader.
-    pub fn history(&self, at: &str) -> Option<Value> {
-        match self.look(at, "GET", "/fleet/routes/history", "", LOOK) {
-            Ok((200, told)) => serde_json::from_str(&told).ok(),
-            _ => None,
-        }
-    }
-
-    /// What the leader told a matcher that asked it; nothing while that reaches none.
-    pub fn fleet(&self, at: &str) -> Option<Value> {
-        self.show(at).map(|mut told| told["fleet"].take()).filter(|fleet| !fleet.is_null())
-    }
-
     /// The voter that leads, as any of these matchers has it from the leader itself.
     ///
     /// # Errors
--- a/tests/program/stops.rs
+++ b/tests/program/stops.rs
@@ -77,3 +77,37 @@
         assert_eq!(is_answered_where_a_launch_is_in_doubt(when), [true, true], "{when:?}");
     }
 }
+
+#[test]
+fn links_that_end_before_a_mark_is_answered_hold_up_no_answer_and_no_slot() {
+    // Guards against commands that stay in doubt without a bound, as no link lives long enough to settle them.
+    let agent = Listener::start();
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let mut link = agent.link();
+    link.sync();
+    let asks = [Ask::new("queue-status", b"read"), Ask::keyed("k", b"once")];
+    // All alike: a caller with another patience than usual would pass for one that comes again.
+    let patient = |ask| Ask { patience_ms: 600, ..ask };
+    let due = Instant::now() + Duration::from_millis(600);
+    let mut streams = asks.map(|ask| send(&program, &patient(ask)));
+    let launched = [link.expect_of_next("launch").handle, link.expect_of_next("launch").handle];
+    link.cut();
+    while Instant::now() < due {
+        agent.link().cut();
+    }
+    assert_eq!(streams.each_mut().map(|stream| read_answer(stream).status), [500, 500]);
+    assert!(due.elapsed() < Duration::from_millis(100), "{:?}", due.elapsed());
+    // A link that stays: all cores of the site are free for others.
+    let mut link = agent.link();
+    link.sync();
+    let mut later: Vec<_> =
+        (0..6).map(|n| send(&program, &patient(Ask::keyed(&format!("later-{n}"), b"later")))).collect();
+    for cursor in 1..=6 {
+        let handle = link.expect_of_next("launch").handle;
+        assert!(!launched.contains(&handle), "its request is over");
+        link.ends(cursor, &handle, "complete", b"made");
+    }
+    for stream in &mut later {
+        assert_eq!(read_answer(stream).body, b"made");
+    }
+}
