Count closed connections by their reason, in the log at the end of the grace and at exit

The evidence could not tell whether a caller without an answer lost its connection here or below: the logs now say how many connections were closed as idle, by their peer, for what was no request, after an answer, with an answer that could not be written, and (a violation) without one. Not in the hot path of a request: one relaxed count at each close.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -5,6 +5,7 @@
 
 use tracing::warn;
 
+use super::closes::CloseReason;
 use super::closing::{self, Ending};
 use super::connection_table::{AfterAnswer, EVICT_AFTER};
 use super::fields::{Bad, Message, Parsed};
@@ -58,6 +59,8 @@
 enum Stop {
     /// Nothing of a request is there, and none is waited for any longer.
     Idle,
+    /// Nothing of a request is there, and the caller has closed its side.
+    PeerClosed,
     /// The caller closed it, or it broke.
     PeerGone,
     /// It sent what is no request.
@@ -66,24 +69,26 @@
 
 /// Serves one connection until it ends.
 pub(super) fn serve<S: Stream, W: Wire>(mut stream: S, wire: W, place: &Place) {
-    let ending = serve_requests(&mut stream, wire, place);
+    let (ending, reason) = serve_requests(&mut stream, wire, place);
+    place.hub.closes.count(reason);
     place.begin_closing();
     let patience = if place.hub.is_closed() { closing::LAST_PATIENCE } else { closing::PATIENCE };
     closing::close(&mut stream, ending, patience);
 }
 
-fn serve_requests<S: Stream, W: Wire>(stream: &mut S, wire: W, place: &Place) -> Ending {
+fn serve_requests<S: Stream, W: Wire>(stream: &mut S, wire: W, place: &Place) -> (Ending, CloseReason) {
     let (conn, hub) = (place.conn, &*place.hub);
     let mut inlet = Inlet::new(wire);
     let mut accepted = Some(place.accepted);
     loop {
         let message = match read_message(stream, &mut inlet, place, accepted.take()) {
             Ok(message) => message,
-            Err(Stop::Idle) => return Ending::Finished,
-            Err(Stop::PeerGone) => return Ending::PeerGone,
+            Err(Stop::Idle) => return (Ending::Finished, CloseReason::Idle),
+            Err(Stop::PeerClosed) => return (Ending::Finished, CloseReason::PeerGone),
+            Err(Stop::PeerGone) => return (Ending::PeerGone, CloseReason::PeerGone),
             Err(Stop::Bad(bad)) => {
                 hub.push(Input::Rejected);
-                return write(stream, &wire.encode_bad(bad), hub);
+                return (write(stream, &wire.encode_bad(bad), hub), CloseReason::Malformed);
             }
         };
         let after = place.request_read();
@@ -98,13 +103,15 @@
         let Ok(answer) = place.answers.recv() else {
             warn!("violation: a connection ends without the answer that it is owed: {conn}");
             hub.push(Input::Violated);
-            return Ending::Finished;
+            return (Ending::Finished, CloseReason::Unanswered);
         };
         let invalid = matches!(answer.verdict, Verdict::Invalid(_) | Verdict::NoSuchClass);
         let close = message.close || answer.close || invalid || after == AfterAnswer::Closes;
         let ending = write(stream, &wire.encode(&answer, close), hub);
-        if close || ending == Ending::PeerGone {
-            return ending;
+        match ending {
+            Ending::PeerGone => return (ending, CloseReason::Unsent),
+            Ending::Finished if close => return (ending, CloseReason::AfterAnswer),
+            Ending::Finished => {}
         }
         place.answered();
     }
@@ -142,8 +149,9 @@
         last_look = left.is_zero();
         stream.conn().set_read_patience(left.clamp(Duration::from_millis(1), hub.idle_look()));
         match read_some(stream, inlet.room()) {
-            // Nothing more comes, as the caller has closed its side or this one was evicted.
-            Ok(0) if idle => return Err(Stop::Idle),
+            // Nothing more comes, as this one was evicted or the caller has closed its side.
+            Ok(0) if idle && place.is_evicted() => return Err(Stop::Idle),
+            Ok(0) if idle => return Err(Stop::PeerClosed),
             Ok(0) if place.is_evicted() => return Err(Stop::Bad(TOO_SLOW)),
             // The caller may have closed only its own side, and still read.
             Ok(0) => {
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -9,6 +9,7 @@
 use may::sync::mpsc as co;
 
 use super::clock::Clock;
+use super::closes::Closes;
 use super::connection_table::{Admission, Capacity, ConnectionTable};
 use super::listen::{ConnectionHandle, Place};
 use super::routed::Router;
@@ -37,6 +38,8 @@
     pub(super) waiting: AtomicUsize,
     connections: Mutex<ConnectionTable<ConnectionHandle>>,
     pub(super) next_conn: AtomicU64,
+    /// Why connections were closed.
+    pub(super) closes: Closes,
     pub(super) sockets: usize,
     most_connections: AtomicUsize,
     spare_connections: AtomicUsize,
@@ -83,6 +86,7 @@
             waiting: AtomicUsize::new(0),
             connections: Mutex::default(),
             next_conn: AtomicU64::new(1),
+            closes: Closes::default(),
             sockets,
             most_connections: AtomicUsize::new(1),
             spare_connections: AtomicUsize::new(0),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod at_start;
 pub mod clock;
+mod closes;
 mod closing;
 pub mod connection_table;
 pub mod control;
@@ -308,6 +309,7 @@
         }
         self.successor.finish();
         info!("counters at exit: {}", self.core.counters());
+        info!("connections closed: {}", self.hub.closes);
         Ok(())
     }
 
@@ -383,7 +385,7 @@
                 }
             }
             Effect::StopListening => {
-                info!("takes no new connections");
+                info!("takes no new connections; closed so far: {}", self.hub.closes);
                 self.hub.close();
                 self.stop_fronts(false);
             }
--- a/tests/program/stops.rs
+++ b/tests/program/stops.rs
@@ -111,3 +111,21 @@
         assert_eq!(read_answer(stream).body, b"made");
     }
 }
+
+#[test]
+fn connections_are_counted_by_the_reason_of_their_close() {
+    // Guards against a log that cannot tell whether a caller without an answer lost its connection here.
+    let agent = Agent::start(1, Duration::from_millis(5), false);
+    let mut program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    assert_eq!(exchange(program.http, b"no request\r\n\r\n").status, 400);
+    drop(connect(program.http));
+    let mut kept = connect(program.http);
+    kept.write_all(&Ask::new("queue-status", b"a").http()).unwrap();
+    assert_eq!(read_answer(&mut kept).status, 200);
+    program.signal("TERM");
+    assert!(program.end().success());
+    // The one that rested is closed as the grace ends.
+    program.wait_for_log(
+        "connections closed: idle=1 by_peer=1 malformed=1 after_answer=0 unsent=0 unanswered=0",
+    );
+}
