Show that two voters split the vote in every term: a failing test

Ruled out: a port of the test taken by another one (no bind failed in the log), links that wait for the leader that left (each try of the order took under 25 ms), the order's own retries.

The test gives both voters one timeout and delays requests for votes by more than a tick.

--- a/tests/record.rs
+++ b/tests/record.rs
@@ -18,6 +18,7 @@
 use hopwalk::fleet::routes::table::{TableError, MOST_BYTES};
 use hopwalk::fleet::routes::{Life, Refusal};
 use hopwalk::fleet::wire::message::AdmitError;
+use hopwalk::fleet::wire::raft::RaftRequest;
 use hopwalk::fleet::wire::{Answering, Caller, Client, Local, Request, Response, Server};
 use miette::Diagnostic;
 use tokio::net::TcpListener;
@@ -86,6 +87,9 @@
     addresses: Vec<(String, SocketAddr)>,
     voters: BTreeMap<&'static str, Voter>,
     entries: u64,
+    election: (Duration, Duration),
+    /// Each request for a vote is on its way for so long.
+    vote_delay: Duration,
 }
 
 impl Drop for Fleet {
@@ -106,7 +110,8 @@
             listeners.push(TcpListener::bind(("127.0.0.1", 0)).await.unwrap());
             addresses.push((name.to_string(), listeners.last().unwrap().local_addr().unwrap()));
         }
-        Self { base, addresses, voters: BTreeMap::new(), entries }
+        let (election, vote_delay) = ((ms(500), ms(1000)), Duration::ZERO);
+        Self { base, addresses, voters: BTreeMap::new(), entries, election, vote_delay }
     }
 
     async fn start(&mut self, name: &'static str) -> &Voter {
@@ -114,15 +119,18 @@
         let clients =
             clients.map(|(n, at)| (n.clone(), Client::start(Local::new("f", name), n, *at, None))).collect();
         let mut options = Options::new("f", name, self.base.join(name), self.addresses.clone());
-        (options.heartbeat, options.election, options.entries) = (ms(100), (ms(500), ms(1000)), self.entries);
+        (options.heartbeat, options.election, options.entries) = (ms(100), self.election, self.entries);
         let record = Record::open(options, clients).await.unwrap();
-        let served = record.clone();
+        let (served, vote_delay) = (record.clone(), self.vote_delay);
         let handler = move |_: Arc<Caller>, request: Request| -> Answering {
             let record = served.clone();
             Box::pin(async move {
                 match request {
                     Request::Hello => Response::Hello(record.hello().await),
                     Request::Raft { to, request } => {
+                        if matches!(*request, RaftRequest::Vote(_)) {
+                            tokio::time::sleep(vote_delay).await;
+                        }
                         Response::Raft(Box::new(record.serve(to, *request).await))
                     }
                     _ => Response::Busy,
@@ -260,6 +268,24 @@
     });
 }
 
+#[test]
+fn two_voters_with_one_election_timeout_elect_a_leader() {
+    run(async {
+        let mut fleet = Fleet::new(&NAMES, 1000).await;
+        // Both stand within a tick of openraft (150 ms), before either hears of the other, in each term.
+        (fleet.election, fleet.vote_delay) = ((ms(500), ms(501)), ms(160));
+        for name in NAMES {
+            fleet.start(name).await;
+        }
+        let first = fleet.leader().await;
+        fleet.stop(first).await;
+        let rest = fleet.others(first);
+        let left = &fleet.voters[rest[0]];
+        let next = left.until("a leader", |s| s.leader.as_ref().is_some_and(|name| name != first)).await;
+        assert!(rest.contains(&next.leader.unwrap().as_str()));
+    });
+}
+
 #[test]
 fn a_leader_that_is_started_again_at_once_leads_in_no_term_of_its_earlier_process() {
     run(async {
