Draw a candidate's next election timeout anew, and hold the ports of the record's tests

Change: after an election that nobody won, a voter stands again after a time drawn anew, from a range that doubles up to twice while no leader is known (fleet/record/election.rs). A voter whose log was refused as shorter is left to openraft, which lets it wait for longer.

Tests: ports of voters in tests/record.rs and tests/driver.rs were drawn, given back and bound again later; another test could take them between (`AddrInUse`, one play in 120). They stay bound now, not listening.

--- a/src/fleet/record/mod.rs
+++ b/src/fleet/record/mod.rs
@@ -6,6 +6,7 @@
 //! voter until [`Record::admit`] puts it in the place of the old one: so it cannot vote twice in a term.
 
 pub mod disk;
+mod election;
 mod error;
 mod log;
 mod mark;
@@ -22,7 +23,7 @@
 use openraft::error::{CheckIsLeaderError, ClientWriteError, ForwardToLeader, RaftError};
 use openraft::{Config, Raft, RaftMetrics, ServerState, SnapshotPolicy};
 use tokio::sync::{watch, Semaphore};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{timeout, timeout_at, Instant};
 
 pub use error::{ConfirmError, RecordError, SubmitError};
@@ -34,6 +35,7 @@
 use super::wire::raft::{NodeId, RaftRefusal, RaftRequest, RaftResponse, Types, Voter};
 use super::wire::Client;
 use disk::Disk;
+use election::ShorterLog;
 use log::{Log, Machine, Shown};
 use network::Ways;
 use store::Store;
@@ -70,7 +72,8 @@
     pub voters: Vec<(String, SocketAddr)>,
     /// Between two heartbeats of the leader.
     pub heartbeat: Duration,
-    /// Without a leader a voter stands for election after a time between these.
+    /// Without a leader a voter stands for election after a time between these. After an election that nobody won the
+    /// range is wider.
     pub election: (Duration, Duration),
     /// A snapshot is made after so many entries; a tenth of them stays in the log, for voters that lag a little.
     pub entries: u64,
@@ -161,7 +164,7 @@
     standing: watch::Receiver<Standing>,
     state: watch::Receiver<Shown>,
     submitted: Semaphore,
-    tasks: [AbortHandle; 2],
+    tasks: Vec<AbortHandle>,
 }
 
 impl Drop for Shared {
@@ -192,7 +195,9 @@
         let opened = options.disk.run(move || Store::open_on(&disk, &folder, &fleet, &name, drawn)).await;
         let store = Arc::new(opened.ok_or(RecordError::Stopped)??);
         let clients = Arc::new(clients);
-        let ways = Ways { clients: clients.clone(), heartbeat: options.heartbeat };
+        let shorter_log = ShorterLog::default();
+        let ways =
+            Ways { clients: clients.clone(), heartbeat: options.heartbeat, shorter_log: shorter_log.clone() };
         let (shown, state) = watch::channel(Shown::default());
         let unreadable = |error: store::StoreError| {
             let file = options.folder.join(store::STORE);
@@ -207,11 +212,15 @@
         let (seats, seat) = watch::channel(Seat::Forming);
         let first = standing(&raft.metrics().borrow(), Seat::Forming);
         let (standings, standing) = watch::channel(first);
-        let tasks = [
+        let mut tasks = vec![
             tokio::spawn(seat::take(options.clone(), raft.clone(), store.node(), clients.clone(), seats)),
             tokio::spawn(stand(raft.metrics(), seat, standings)),
         ];
-        let tasks = tasks.map(|task| task.abort_handle());
+        // A voter that is alone always wins.
+        if options.voters.len() > 1 {
+            tasks.push(tokio::spawn(election::stand_again(raft.clone(), options.election, shorter_log)));
+        }
+        let tasks = tasks.iter().map(JoinHandle::abort_handle).collect();
         let submitted = Semaphore::new(MOST_SUBMITTED);
         Ok(Self {
             shared: Arc::new(Shared { options, raft, store, clients, standing, state, submitted, tasks }),
--- a/src/fleet/record/network.rs
+++ b/src/fleet/record/network.rs
@@ -16,6 +16,7 @@
 use openraft::{RaftNetwork, RaftNetworkFactory, SnapshotSegmentId};
 use thiserror::Error;
 
+use super::election::ShorterLog;
 use crate::fleet::wire::message::{Request, Response};
 use crate::fleet::wire::raft::{NodeId, RaftRefusal, RaftRequest, RaftResponse, Types, Voter};
 use crate::fleet::wire::{Client, WireError};
@@ -25,6 +26,7 @@
 pub struct Ways {
     pub clients: Arc<BTreeMap<String, Client>>,
     pub heartbeat: Duration,
+    pub shorter_log: ShorterLog,
 }
 
 impl RaftNetworkFactory<Types> for Ways {
@@ -36,6 +38,7 @@
             name: node.name.clone(),
             client: self.clients.get(&node.name).cloned(),
             pause: self.heartbeat,
+            shorter_log: self.shorter_log.clone(),
         }
     }
 }
@@ -46,6 +49,7 @@
     name: String,
     client: Option<Client>,
     pause: Duration,
+    shorter_log: ShorterLog,
 }
 
 /// Why there is no answer of the store that was meant.
@@ -129,8 +133,14 @@
     }
 
     async fn vote(&mut self, rpc: VoteRequest<NodeId>, option: RPCOption) -> Answer<VoteResponse<NodeId>> {
+        let (term, last_log) = (rpc.vote.leader_id.get_term(), rpc.last_log_id);
         match self.ask(RaftRequest::Vote(rpc), option.hard_ttl()).await.map_err(WayError::rpc)? {
-            RaftResponse::Vote(response) => Ok(response),
+            RaftResponse::Vote(response) => {
+                if !response.vote_granted && response.last_log_id > last_log {
+                    self.shorter_log.refused_in(term);
+                }
+                Ok(response)
+            }
             _ => Err(self.other().rpc()),
         }
     }
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -1,6 +1,9 @@
 //! The driver of the fleet's routes: several of them in one process, over loopback, with records on disk. Orders go in
 //! where the operators' door puts them, and calls are looked at as the serving path does.
 
+#[path = "common/ports.rs"]
+mod ports;
+
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,6 +16,7 @@
 use hopwalk::fleet::routes::table::Known;
 use hopwalk::fleet::routing::{Call, Order, OrderError, Routed, Way};
 use hopwalk::lab::stand_in::wait_until;
+use ports::ReservedPort;
 use serde_json::Value;
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -20,6 +24,8 @@
 
 struct Fleet {
     folder: PathBuf,
+    /// Held while members come and go on them.
+    _ports: Vec<ReservedPort>,
     voters: Vec<(String, SocketAddr)>,
     services: Vec<TcpListener>,
     drivers: Vec<Driver>,
@@ -41,13 +47,11 @@
     fn start(voters: usize) -> Self {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("hopwalk-driver-test-{}-{n}", std::process::id()));
-        // All at once, so that no address is given twice.
-        let held: Vec<_> = (0..voters).map(|_| listener()).collect();
-        let voter = |(at, l): (usize, &TcpListener)| (format!("m{}", at + 1), l.local_addr().unwrap());
-        let names = held.iter().enumerate().map(voter).collect();
-        drop(held);
+        let ports: Vec<_> = (0..voters).map(|_| ReservedPort::any()).collect();
+        let voter = |(at, port): (usize, &ReservedPort)| (format!("m{}", at + 1), port.address());
+        let names = ports.iter().enumerate().map(voter).collect();
         let services = vec![listener(), listener()];
-        let mut fleet = Self { folder, voters: names, services, drivers: Vec::new() };
+        let mut fleet = Self { folder, _ports: ports, voters: names, services, drivers: Vec::new() };
         for at in 0..=voters {
             std::fs::create_dir_all(fleet.folder.join(format!("m{}", at + 1))).unwrap();
             let driver = fleet.driver(at);
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -1,5 +1,8 @@
 //! The record of a fleet: voters over loopback that lose their leader, their processes and their folders.
 
+#[path = "common/ports.rs"]
+mod ports;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::future::Future;
@@ -21,7 +24,7 @@
 use hopwalk::fleet::wire::raft::RaftRequest;
 use hopwalk::fleet::wire::{Answering, Caller, Client, Local, Request, Response, Server};
 use miette::Diagnostic;
-use tokio::net::TcpListener;
+use ports::ReservedPort;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 
@@ -84,6 +87,8 @@
 /// Folders and addresses of voters, and the processes that are there now.
 struct Fleet {
     base: PathBuf,
+    /// Held while voters come and go on them.
+    _ports: Vec<ReservedPort>,
     addresses: Vec<(String, SocketAddr)>,
     voters: BTreeMap<&'static str, Voter>,
     entries: u64,
@@ -99,19 +104,20 @@
 }
 
 impl Fleet {
-    async fn new(names: &[&'static str], entries: u64) -> Self {
+    fn new(names: &[&'static str], entries: u64) -> Self {
         static NUMBER: AtomicU64 = AtomicU64::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let base = std::env::temp_dir().join(format!("hopwalk-record-{}-{number}", std::process::id()));
         let mut addresses = Vec::new();
-        let mut listeners = Vec::new();
+        let mut ports = Vec::new();
         for name in names {
             fs::create_dir_all(base.join(name)).unwrap();
-            listeners.push(TcpListener::bind(("127.0.0.1", 0)).await.unwrap());
-            addresses.push((name.to_string(), listeners.last().unwrap().local_addr().unwrap()));
+            let port = ReservedPort::any();
+            addresses.push((name.to_string(), port.address()));
+            ports.push(port);
         }
         let (election, vote_delay) = ((ms(500), ms(1000)), Duration::ZERO);
-        Self { base, addresses, voters: BTreeMap::new(), entries, election, vote_delay }
+        Self { base, _ports: ports, addresses, voters: BTreeMap::new(), entries, election, vote_delay }
     }
 
     async fn start(&mut self, name: &'static str) -> &Voter {
@@ -144,7 +150,7 @@
     }
 
     async fn all(names: &[&'static str], entries: u64) -> Self {
-        let mut fleet = Self::new(names, entries).await;
+        let mut fleet = Self::new(names, entries);
         for name in names {
             fleet.start(name).await;
         }
@@ -271,7 +277,7 @@
 #[test]
 fn two_voters_with_one_election_timeout_elect_a_leader() {
     run(async {
-        let mut fleet = Fleet::new(&NAMES, 1000).await;
+        let mut fleet = Fleet::new(&NAMES, 1000);
         // Both stand within a tick of openraft (150 ms), before either hears of the other, in each term.
         (fleet.election, fleet.vote_delay) = ((ms(500), ms(501)), ms(160));
         for name in NAMES {
@@ -286,6 +292,29 @@
     });
 }
 
+#[test]
+fn the_voter_with_the_longer_log_is_elected_beside_one_that_stands_first() {
+    run(async {
+        let mut fleet = Fleet::new(&NAMES, 1000);
+        (fleet.election, fleet.vote_delay) = ((ms(500), ms(501)), ms(160));
+        for name in NAMES {
+            fleet.start(name).await;
+        }
+        let first = fleet.leader().await;
+        let rest = fleet.others(first);
+        let (shorter, longer) = (rest[0], rest[1]);
+        fleet.stop(shorter).await;
+        assert_eq!(fleet.submit(propose(1, 0)).await, proposed(1));
+        fleet.same().await;
+        fleet.stop(first).await;
+        // It knows of no leader in its life, so it stands before the other one's lease is over.
+        let left = fleet.start(shorter).await;
+        let elected = |s: &Standing| s.leader.as_deref() == Some(longer);
+        left.until("the voter with the longer log leads", elected).await;
+        assert_eq!(fleet.submit(propose(2, 0)).await, proposed(2));
+    });
+}
+
 #[test]
 fn a_leader_that_is_started_again_at_once_leads_in_no_term_of_its_earlier_process() {
     run(async {
