--- a/src/lab/shim.rs
+++ b/src/lab/shim.rs
@@ -30,16 +30,18 @@
     Disk,
     /// Reads and writes on sockets that the process connected, and that find them broken.
     Break,
+    /// Accepts that fail as their client is gone: the connection is taken and closed.
+    Abort,
 }
 
 impl Dial {
-    /// The dials that are rates.
+    /// The rates of faults that cost no caller its connection.
     pub const RATES: [Self; 6] =
         [Self::Accept, Self::Connect, Self::Interrupt, Self::Short, Self::Disk, Self::Break];
 }
 
 /// How many dials there are.
-const DIALS: u64 = Dial::Break as u64 + 1;
+const DIALS: u64 = Dial::Abort as u64 + 1;
 
 /// The library, built for this machine.
 #[derive(Clone, Debug)]
--- a/tests/program/system_calls.rs
+++ b/tests/program/system_calls.rs
@@ -15,6 +15,10 @@
 /// Callers that ask at the same time, and how often each does.
 const CALLERS: usize = 4;
 const ROUNDS: usize = 12;
+/// The rate of a fault that never fails to come.
+const ALWAYS: i64 = 1000;
+/// Connections in a backlog.
+const WAITING: usize = 24;
 
 fn start(agent: &Agent) -> Program {
     Program::start(Setup {
@@ -85,6 +89,37 @@
     assert!(program.end().success());
 }
 
+#[test]
+fn a_backlog_is_taken_in_as_the_listener_closes_though_looks_at_it_are_interrupted() {
+    // Guards against an interrupted look that passes for an empty backlog, which the close then resets.
+    let agent = Agent::start(2, QUICK, true);
+    let mut program = start(&agent);
+    // Nobody is taken in until the listeners close, and then each second look is interrupted.
+    turn(&program, &[(Dial::Accept, ALWAYS)]);
+    let mut waiting: Vec<_> = (0..WAITING).map(|_| connect(program.http)).collect();
+    for stream in &mut waiting {
+        stream.write_all(&Ask { patience_ms: 3000, ..Ask::new("queue-status", b"waits") }.http()).unwrap();
+    }
+    program.signal("TERM");
+    program.wait_for_log("takes no new connections");
+    turn(&program, &[(Dial::Interrupt, ALWAYS / 2), (Dial::Accept, 0)]);
+    let statuses: Vec<_> = waiting.iter_mut().map(|stream| read_answer(stream).status).collect();
+    assert!(statuses.iter().all(|status| [200, 500, 503].contains(status)), "{statuses:?}");
+    assert!(program.end().success());
+}
+
+#[test]
+fn a_listener_closes_though_all_in_its_backlog_are_gone_before_they_are_accepted() {
+    // Guards against an accept that waits for another connection while the listener is to close.
+    let agent = Agent::start(2, QUICK, true);
+    let mut program = start(&agent);
+    turn(&program, &[(Dial::Abort, ALWAYS)]);
+    // The only ones that connect are those by which the program wakes its own listeners.
+    program.signal("TERM");
+    program.wait_for_log("takes no new connections");
+    assert!(program.end().success());
+}
+
 #[test]
 fn a_new_version_takes_over_while_system_calls_fail() {
     // Guards against a new process that does not find the one that runs, and ends as its address is in use.
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -25,6 +25,7 @@
     int64_t short_rate;     /* reads and writes on sockets: a part */
     int64_t disk_rate;      /* writes and syncs to files: ENOSPC, EIO */
     int64_t break_rate;     /* reads and writes on sockets that it connected: ETIMEDOUT, EHOSTUNREACH, for good */
+    int64_t abort_rate;     /* accept: ECONNABORTED, and the connection is gone */
 };
 
 static volatile struct control *control;
@@ -68,6 +69,7 @@
 static const int disk_errors[] = {ENOSPC, EIO};
 static const int broken_errors[] = {ETIMEDOUT, EHOSTUNREACH};
 static const int interrupted[] = {EINTR};
+static const int aborted[] = {ECONNABORTED};
 
 static int is_kind(int fd, mode_t kind) {
     struct stat about;
@@ -104,6 +106,10 @@
     if (STRIKES(accept_rate)) return fails(accept_errors, 3);
     int taken = next(fd, address, len, flags);
     if (taken >= 0 && taken < MOST_FDS) connected[taken] = 0;
+    if (taken >= 0 && STRIKES(abort_rate)) {
+        close(taken);
+        return fails(aborted, 1);
+    }
     return taken;
 }
 
