Stop a listener though its accepts fail

Change: it looks after each accept, failed or not. Looked at for the same class: the handover's socket (fails into a pause, nothing waits for it), ACME's responder (looks after each accept), the operators' door (lives as long as the process), the fleet's links (aborted as a task). The console's accept loop has no pause where accepts fail; by reading, not mended here.

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -151,8 +151,11 @@
 
 /// Takes connections on a front until it is stopped.
 fn accept(listener: TcpListener, hub: &Arc<Hub>, state: &StopState, serve: impl Fn(Conn, Place)) {
+    // Also after an accept that failed: where all of them fail, the listener stops none the less.
     while !state.is_asked.load(Ordering::Acquire) {
-        take_in(next(&listener), hub, &serve);
+        if let Some(stream) = accept_once(&listener) {
+            take_in(stream, hub, &serve);
+        }
     }
     state.has_begun.store(true, Ordering::Release);
     // Where this is not to be had, a handshake that ends between the last look and the close is reset.
