--- a/fuzz/src/targets/mod.rs
+++ b/fuzz/src/targets/mod.rs
@@ -232,7 +232,14 @@
     Target {
         name: "wire",
         about: "the simulator's lines, and the module behind them",
-        files: &["src/bin/hopwalk-adapter/wire.rs", "src/brain.rs"],
+        files: &[
+            "src/bin/hopwalk-adapter/wire.rs",
+            "src/brain.rs",
+            "src/brain/schedule.rs",
+            "src/brain/calls.rs",
+            "src/brain/keys.rs",
+            "src/brain/guards.rs",
+        ],
         most_len: 4096,
         words: &[
             "submit who=1 id=",
@@ -250,7 +257,15 @@
     Target {
         name: "core",
         about: "the reducer in a world with an agent, links that break, drains and reloads",
-        files: &["src/core/mod.rs", "src/core/keys.rs", "src/brain.rs"],
+        files: &[
+            "src/core/mod.rs",
+            "src/core/keys.rs",
+            "src/brain.rs",
+            "src/brain/schedule.rs",
+            "src/brain/calls.rs",
+            "src/brain/keys.rs",
+            "src/brain/guards.rs",
+        ],
         most_len: 384,
         words: &[],
         run: world::core,
@@ -258,7 +273,14 @@
     Target {
         name: "core_wild",
         about: "the reducer and an agent, a vault and callers that say anything",
-        files: &["src/core/mod.rs", "src/brain.rs"],
+        files: &[
+            "src/core/mod.rs",
+            "src/brain.rs",
+            "src/brain/schedule.rs",
+            "src/brain/calls.rs",
+            "src/brain/keys.rs",
+            "src/brain/guards.rs",
+        ],
         most_len: 384,
         words: &[],
         run: world::wild,
