--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -3,12 +3,16 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use hopwalk::lab::shim::{Dial, Shim};
 
 use super::authority::{Authority, Rules};
+use super::clock::shim;
 use super::stand_in::*;
 
 const MONTHS: Duration = Duration::from_secs(90 * 24 * 3600);
@@ -23,11 +27,17 @@
 
 impl Appliance {
     fn start(acme: &str) -> Self {
+        Self::start_on(acme, None)
+    }
+
+    /// On a system whose calls can be made to fail.
+    fn start_on(acme: &str, shim: Option<&'static Shim>) -> Self {
         let agent = Agent::start(2, Duration::from_millis(5), false);
         let dir = Scratch::new();
         let socket = dir.path("console.sock");
         let appliance = format!(r#","console":{{"socket":"{}"}}{acme}"#, socket.display());
-        let program = Program::start(Setup { agent: Some(agent.address), appliance, ..Setup::default() });
+        let program =
+            Program::start(Setup { agent: Some(agent.address), appliance, shim, ..Setup::default() });
         program.wait_for_log("the console listens");
         Self { program, socket, _agent: agent, _dir: dir }
     }
@@ -75,6 +85,22 @@
     appliance.program.wait_for_log("counters at exit: taken_in=1 ");
 }
 
+#[test]
+fn the_console_waits_while_the_system_gives_no_connections() {
+    // Guards against a loop that asks again at once and takes the server's one core.
+    let appliance = Appliance::start_on("", Some(shim()));
+    let accepts_fail = |rate| appliance.program.faults().set(Dial::Accept, rate).unwrap();
+    accepts_fail(1000);
+    // It wakes the console's thread, which may wait in an accept from before.
+    drop(UnixStream::connect(&appliance.socket).unwrap());
+    let (since, before) = (Instant::now(), appliance.program.processor_ticks());
+    wait_for("some time", || since.elapsed() >= Duration::from_millis(500));
+    let used = appliance.program.processor_ticks() - before;
+    assert!(used < 20, "{used} ticks of 10 ms in {:?}", since.elapsed());
+    accepts_fail(0);
+    assert_eq!(appliance.says("status", "healthy"), "yes");
+}
+
 #[test]
 fn an_order_survives_a_bad_nonce_and_its_certificate_a_restart() {
     let (challenges, dir) = (gone(), Scratch::new());
--- a/tests/program/stand_in.rs
+++ b/tests/program/stand_in.rs
@@ -40,6 +40,10 @@
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
+/// Where the times in user code and in the system stand among the fields of a process, counted from its state.
+const USER_TICKS: usize = 11;
+const SYSTEM_TICKS: usize = 12;
+
 /// The program as a process, with what it was given and where it listens.
 pub struct Program {
     child: Child,
@@ -261,8 +265,21 @@
 
     /// The letter that the system gives for the state of the process.
     fn state(&self) -> Option<char> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
-        stat.rsplit_once(") ")?.1.chars().next()
+        self.stat().first()?.chars().next()
+    }
+
+    /// The processor time that it has used, in the system's ticks of 10 ms.
+    pub fn processor_ticks(&self) -> u64 {
+        let stat = self.stat();
+        let ticks = |at: usize| stat[at].parse::<u64>().unwrap();
+        ticks(USER_TICKS) + ticks(SYSTEM_TICKS)
+    }
+
+    /// What the system says of the process, from its state on.
+    fn stat(&self) -> Vec<String> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let fields = stat.rsplit_once(") ").map_or("", |(_, fields)| fields);
+        fields.split(' ').map(str::to_string).collect()
     }
 
     /// Puts another file in the place of the configuration and has it read.
