--- a/src/console.rs
+++ b/src/console.rs
@@ -11,7 +11,7 @@
 
 use miette::Diagnostic;
 use thiserror::Error;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::core::Query;
 use crate::net::at_start;
@@ -24,6 +24,8 @@
 const CLIENT_PATIENCE: Duration = Duration::from_secs(30);
 /// The program answers within this time, or is taken to hang.
 const ANSWER_PATIENCE: Duration = Duration::from_secs(5);
+/// Wait after an accept that failed, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The longest line that a client may send.
 const MOST_LINE: usize = 256;
 /// Clients served at once.
@@ -112,21 +114,27 @@
     info!("the console listens on {}", path.display());
     let settings = Arc::new(config.describe());
     let clients = Arc::new(());
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            if Arc::strong_count(&clients) > MOST_CLIENTS {
+    std::thread::spawn(move || loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                debug!("no connection for the console: {e}");
+                std::thread::sleep(ACCEPT_PAUSE);
                 continue;
             }
-            let (client, settings, handle) = (clients.clone(), settings.clone(), handle.clone());
-            let certificate = certificate.clone();
-            std::thread::spawn(move || {
-                let _client = client;
-                let answer = |word: &Word| answer(word, &settings, &handle, &certificate);
-                if let Err(e) = serve(stream, answer) {
-                    warn!("a console client was let go: {e}");
-                }
-            });
+        };
+        if Arc::strong_count(&clients) > MOST_CLIENTS {
+            continue;
         }
+        let (client, settings, handle) = (clients.clone(), settings.clone(), handle.clone());
+        let certificate = certificate.clone();
+        std::thread::spawn(move || {
+            let _client = client;
+            let answer = |word: &Word| answer(word, &settings, &handle, &certificate);
+            if let Err(e) = serve(stream, answer) {
+                warn!("a console client was let go: {e}");
+            }
+        });
     });
     Ok(())
 }
