Draw further election timeouts from one range, and hold every port that a test draws

Election: the range no longer doubles after each lost election. Voters that were cut off for long would have waited up to 3.6 s after a heal; with 400 to 1,200 ms they wait little longer than openraft's own 800 ms.

Tests: `gone()` drew a port and gave it back, and some servers bound it later, so that another test could take it between (the class of the `AddrInUse` seen before). It stays reserved now (lab/ports.rs, in place of tests/common/ports.rs).

--- a/src/fleet/record/election.rs
+++ b/src/fleet/record/election.rs
@@ -18,9 +18,6 @@
 use crate::fleet::chance;
 use crate::fleet::wire::raft::{NodeId, Types, Voter};
 
-/// The range of the draws doubles after each election that was lost, so many times at most.
-const MOST_DOUBLINGS: u32 = 2;
-
 type Metrics = watch::Receiver<RaftMetrics<NodeId, Voter>>;
 
 /// The last term in which another voter refused its vote because its log is longer. openraft lets this voter wait for
@@ -41,10 +38,10 @@
     }
 }
 
-/// The range from which a candidate's next timeout is drawn after `lost` elections in a row that nobody won.
-fn range((least, most): (Duration, Duration), lost: u32) -> Range<Duration> {
-    let width = most * 2_u32.pow(lost.min(MOST_DOUBLINGS));
-    least..least + width
+/// The range from which a candidate's next timeout is drawn: at least as wide as the longest timeout, however close the
+/// two of the settings are.
+fn range((least, most): (Duration, Duration)) -> Range<Duration> {
+    least..least + most
 }
 
 /// A time in `range`, to the millisecond; its middle where the system has no random numbers.
@@ -54,19 +51,10 @@
     range.start + Duration::from_millis(offset)
 }
 
-/// Waits until this voter is a candidate; the term, and whether a leader was known meanwhile. None: the record was closed.
-async fn candidacy(metrics: &mut Metrics) -> Option<(u64, bool)> {
-    let mut led = false;
-    loop {
-        {
-            let seen = metrics.borrow_and_update();
-            led |= seen.current_leader.is_some();
-            if seen.state == ServerState::Candidate {
-                return Some((seen.current_term, led));
-            }
-        }
-        metrics.changed().await.ok()?;
-    }
+/// Waits until this voter is a candidate, and returns the term. None: the record was closed.
+async fn candidacy(metrics: &mut Metrics) -> Option<u64> {
+    let seen = metrics.wait_for(|seen| seen.state == ServerState::Candidate).await.ok()?;
+    Some(seen.current_term)
 }
 
 /// Waits until this voter is no candidate of `term` any more. None: the record was closed.
@@ -80,22 +68,16 @@
 /// several voters.
 pub(super) async fn stand_again(raft: Raft<Types>, election: (Duration, Duration), shorter_log: ShorterLog) {
     let mut metrics = raft.metrics();
-    let mut lost = 0;
-    while let Some((term, led)) = candidacy(&mut metrics).await {
-        lost = if led { 0 } else { lost + 1 };
-        let wait = draw(range(election, lost));
+    while let Some(term) = candidacy(&mut metrics).await {
+        let wait = draw(range(election));
         // openraft's own timer would stand at its fixed time.
         raft.runtime_config().elect(false);
         let ended = timeout(wait, end_of_candidacy(&mut metrics, term)).await;
         raft.runtime_config().elect(true);
         let nobody_was_elected = ended.is_err();
         if nobody_was_elected && !shorter_log.is_known_in(term) {
-            tracing::info!(
-                term,
-                lost,
-                waited_ms = wait.as_millis() as u64,
-                "routes: nobody was elected; stands again"
-            );
+            let waited_ms = wait.as_millis() as u64;
+            tracing::info!(term, waited_ms, "routes: nobody was elected; stands again");
             // The record has stopped, then the metrics end as well.
             let _ = raft.trigger().elect().await;
         }
--- a/src/fleet/record/mod.rs
+++ b/src/fleet/record/mod.rs
@@ -72,8 +72,8 @@
     pub voters: Vec<(String, SocketAddr)>,
     /// Between two heartbeats of the leader.
     pub heartbeat: Duration,
-    /// Without a leader a voter stands for election after a time between these. After an election that nobody won the
-    /// range is wider.
+    /// Without a leader a voter stands for election after a time between these. After an election that nobody won it is
+    /// a time from the first to the sum of both.
     pub election: (Duration, Duration),
     /// A snapshot is made after so many entries; a tenth of them stays in the log, for voters that lag a little.
     pub entries: u64,
--- a/src/lab/connections.rs
+++ b/src/lab/connections.rs
@@ -10,6 +10,7 @@
 use may::net::TcpStream;
 
 use super::error::AskError;
+use super::http::Answered;
 
 /// Bytes of an answer read at most.
 const MOST_ANSWER: usize = 64 * 1024;
@@ -155,7 +156,7 @@
 fn read_answer(stream: &mut TcpStream, bytes: &mut Vec<u8>, until: Instant) -> Result<Answered, AskError> {
     let mut chunk = [0; 2048];
     loop {
-        if let Some(answer) = answer_of(bytes) {
+        if let Some(answer) = Answered::read(bytes) {
             return Ok(answer);
         }
         if bytes.len() > MOST_ANSWER {
@@ -177,56 +178,3 @@
         }
     }
 }
-
-/// What the head of a whole answer says.
-#[derive(Debug, PartialEq)]
-struct Answered {
-    status: u16,
-    /// Bytes of head and body.
-    len: usize,
-    /// The connection stays open.
-    reusable: bool,
-}
-
-/// An answer, once it is there whole.
-fn answer_of(bytes: &[u8]) -> Option<Answered> {
-    let mut fields = [httparse::EMPTY_HEADER; 16];
-    let mut head = httparse::Response::new(&mut fields);
-    let Ok(httparse::Status::Complete(end)) = head.parse(bytes) else { return None };
-    let field = |name: &str| {
-        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(found.value).ok()
-    };
-    let len = end + field("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
-    let reusable = !field("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    (bytes.len() >= len).then_some(Answered { status: head.code?, len, reusable })
-}
-
-#[cfg(test)]
-mod tests {
-    use super::super::load::http;
-    use super::*;
-
-    #[test]
-    fn an_answer_is_read_only_whole() {
-        assert_eq!(answer_of(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After-Ms: 5\r\n"), None);
-        let whole = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n";
-        assert_eq!(answer_of(whole), Some(Answered { status: 503, len: whole.len(), reusable: false }));
-        assert_eq!(answer_of(b"HTTP/1.1 2x0 OK\r\n\r\n"), None);
-        let body = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-        assert_eq!(answer_of(&body[..body.len() - 1]), None);
-        assert_eq!(answer_of(body), Some(Answered { status: 200, len: body.len(), reusable: true }));
-    }
-
-    #[test]
-    fn a_keyed_request_carries_its_key_and_its_deadline() {
-        let text =
-            String::from_utf8(http("1-2", "lobby-confirm", "k1", "o7", 1500, b"lab 1-2 k1", 0)).unwrap();
-        assert!(
-            text.contains("Idempotency-Key: k1\r\nX-Object: o7\r\n")
-                && text.contains("X-Timeout-Ms: 1500\r\n"),
-            "{text}"
-        );
-        assert!(text.ends_with("\r\n\r\nlab 1-2 k1"));
-    }
-}
--- a/src/lab/load.rs
+++ b/src/lab/load.rs
@@ -8,11 +8,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use super::connections::{ask, Asked, Idle, Reuse};
 use super::error::AskError;
 use super::history::{Event, Passed, Recorder};
+use super::http::CallerRequest;
 use super::net::{Passage, Passages};
 use super::random::Random;
 use super::scenario::Scenario;
@@ -25,6 +26,8 @@
 const KEYS_KEPT: usize = 1024;
 /// A key is repeated only this long after its first try: well inside the site's window of 13,356 ms.
 const REPEAT_WITHIN: Duration = Duration::from_secs(10);
+/// A request that the load tool or its net brings so late is noted.
+const LATE: Duration = Duration::from_millis(20);
 /// How long a caller waits past its due time before it calls the request gone.
 pub const GRACE: Duration = Duration::from_millis(1500);
 
@@ -233,7 +236,8 @@
         let Draft { class, key, body_id, object, once, to, clock_ms } = draft;
         let body = format!("lab {body_id} {key} {class}{once}");
         let patience_ms = patience.as_millis() as u64;
-        let bytes = http(&id, class, key, object, patience_ms, body.as_bytes(), *clock_ms);
+        let (clock_ms, body) = (*clock_ms, body.as_bytes());
+        let bytes = CallerRequest { id: &id, class, key, object, patience_ms, clock_ms, body }.text();
         let due_ms = self.history.now_ms() + patience_ms;
         let (class, key) = (class.to_string(), key.clone());
         self.history.record(Event::Send { id: id.clone(), to: to.clone(), class, key, due_ms });
@@ -303,9 +307,6 @@
     }
 }
 
-/// A request that the load tool or its net brings so late is noted.
-const LATE: Duration = Duration::from_millis(20);
-
 /// Waits until no request is out, or `most` has passed.
 pub fn settle(tally: &Tally, most: Duration) {
     let since = Instant::now();
@@ -313,30 +314,3 @@
         std::thread::sleep(Duration::from_millis(10));
     }
 }
-
-/// A request as the platform's callers make it.
-pub fn http(
-    id: &str,
-    class: &str,
-    key: &str,
-    object: &str,
-    patience_ms: u64,
-    body: &[u8],
-    clock_ms: i64,
-) -> Vec<u8> {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
-    let start = unix + clock_ms;
-    let rank = if key.is_empty() { "0.1" } else { "0.8" };
-    let mut head = format!(
-        "POST /do/{class} HTTP/1.1\r\nHost: lab\r\nX-Request-Id: {id}\r\nX-Request-Start: {start}\r\n\
-         X-Timeout-Ms: {patience_ms}\r\nX-Memory-Kb: 40\r\nX-Rank: {rank}\r\n"
-    );
-    if !key.is_empty() {
-        head += &format!("Idempotency-Key: {key}\r\n");
-    }
-    if !object.is_empty() {
-        head += &format!("X-Object: {object}\r\n");
-    }
-    head += &format!("Content-Length: {}\r\n\r\n", body.len());
-    [head.as_bytes(), body].concat()
-}
--- a/src/lab/stand_in.rs
+++ b/src/lab/stand_in.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
@@ -15,7 +15,10 @@
 use tinyjson::JsonValue;
 
 use super::history::{Event, Recorder};
+use super::ports::ReservedPort;
 
+/// The address of an agent that does not listen yet.
+const NOT_BOUND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// How long [`wait_for`] waits.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -104,7 +107,7 @@
     pub fn start(cores: usize, work: Duration, calls: bool) -> Self {
         let (queue, work_queue) = mpsc::channel::<(String, Vec<u8>)>();
         let agent = Self {
-            address: gone(),
+            address: NOT_BOUND,
             told: Arc::default(),
             busy: Arc::default(),
             queue,
@@ -132,7 +135,7 @@
         let (told, busy) = (Arc::default(), Arc::default());
         let (history, deadlines) = (Some((history, Arc::from(by))), Some(deadlines));
         Self::serve(
-            Self { address: gone(), told, busy, queue, cores, history, deadlines, calls },
+            Self { address: NOT_BOUND, told, busy, queue, cores, history, deadlines, calls },
             work_queue,
             work,
         )
@@ -464,9 +467,13 @@
     address
 }
 
-/// An address where nobody listens.
+/// An address where nobody listens, and nobody but who is told of it will.
 pub fn gone() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let port = ReservedPort::any().expect("a port");
+    let address = port.address();
+    // Reserved for as long as this process lives: the system would give it to another listener.
+    std::mem::forget(port);
+    address
 }
 
 /// A stand-in for the control plane: takes the reports of being alive, and drops them.
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -1,9 +1,6 @@
 //! The driver of the fleet's routes: several of them in one process, over loopback, with records on disk. Orders go in
 //! where the operators' door puts them, and calls are looked at as the serving path does.
 
-#[path = "common/ports.rs"]
-mod ports;
-
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,8 +12,8 @@
 use hopwalk::fleet::routes::record::RecordError;
 use hopwalk::fleet::routes::table::Known;
 use hopwalk::fleet::routing::{Call, Order, OrderError, Routed, Way};
+use hopwalk::lab::ports::ReservedPort;
 use hopwalk::lab::stand_in::wait_until;
-use ports::ReservedPort;
 use serde_json::Value;
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -47,7 +44,7 @@
     fn start(voters: usize) -> Self {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("hopwalk-driver-test-{}-{n}", std::process::id()));
-        let ports: Vec<_> = (0..voters).map(|_| ReservedPort::any()).collect();
+        let ports: Vec<_> = (0..voters).map(|_| ReservedPort::any().unwrap()).collect();
         let voter = |(at, port): (usize, &ReservedPort)| (format!("m{}", at + 1), port.address());
         let names = ports.iter().enumerate().map(voter).collect();
         let services = vec![listener(), listener()];
--- a/tests/record.rs
+++ b/tests/record.rs
@@ -1,8 +1,5 @@
 //! The record of a fleet: voters over loopback that lose their leader, their processes and their folders.
 
-#[path = "common/ports.rs"]
-mod ports;
-
 use std::collections::BTreeMap;
 use std::fs;
 use std::future::Future;
@@ -23,8 +20,8 @@
 use hopwalk::fleet::wire::message::AdmitError;
 use hopwalk::fleet::wire::raft::RaftRequest;
 use hopwalk::fleet::wire::{Answering, Caller, Client, Local, Request, Response, Server};
+use hopwalk::lab::ports::ReservedPort;
 use miette::Diagnostic;
-use ports::ReservedPort;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 
@@ -112,7 +109,7 @@
         let mut ports = Vec::new();
         for name in names {
             fs::create_dir_all(base.join(name)).unwrap();
-            let port = ReservedPort::any();
+            let port = ReservedPort::any().unwrap();
             addresses.push((name.to_string(), port.address()));
             ports.push(port);
         }
