Start the unit tests' coroutines on one worker, as the program does

Seen: unit tests of net::vault got nothing within 10 s, 1 of 21 runs by a tracer, 1 of 4 by the lead (there of net::agent), five tests at once. Cause: the tests' hub never called start_runtime, so that May ran several workers, which src/net/spawn.rs says is unsound. Ruled out: load (runs were alone).

--- a/src/net/routed.rs
+++ b/src/net/routed.rs
@@ -243,6 +243,8 @@
         double: Option<Arc<Double>>,
         vault: Option<std::net::SocketAddr>,
     ) -> (Arc<Hub>, Receiver<Input>) {
+        // Coroutines are sound on one worker only, in tests too.
+        crate::net::spawn::start_runtime();
         let (sender, inbox) = channel();
         let links = Links { agent: None, vault, control: None };
         let routing = double.map(|double| double as Arc<dyn Router>);
