Tell the reply to a call from what earlier calls of its request may still bring

Cause: a reply from below names its request and not its call; a late reply, or a second copy of one, over the connection of the request's next call was taken for that one's (net/vault read_reply compared ids alone). Ruled out: an id of its own for each call (PROTOCOL: a call names its request). Change: a request remembers what its earlier calls may still bring (core/call_history). A copy of a reply is told by its content and passed over, and the call waits on; where an earlier call ended without its own reply (given up, overdue, broken, a word that came before), nothing can be told, and the next call is left out, or its request fails. A word that came before does not prove of what must run once that a later attempt never ran. What comes before a call is written spoils its connection. Counted: calls_ambiguous, stray_replies. Services that answer each call on a connection of its own (SCGI) are not concerned.

--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::call_history::CallHistory;
 use super::types::*;
 use super::{Core, End, Phase, Timer};
 use crate::interface::{Event, Outcome, Repeat, RequestId};
@@ -21,11 +22,19 @@
     pub(super) began: Option<Duration>,
     /// An attempt of the request was made before.
     was_tried: bool,
+    history: CallHistory,
 }
 
 impl Default for CallState {
     fn default() -> Self {
-        Self { cursor: 0, body: Bytes::from([]), attempt: 0, began: None, was_tried: false }
+        Self {
+            cursor: 0,
+            body: Bytes::from([]),
+            attempt: 0,
+            began: None,
+            was_tried: false,
+            history: CallHistory::default(),
+        }
     }
 }
 
@@ -37,6 +46,11 @@
 }
 
 impl Core {
+    /// Each call below is answered on a connection of its own, with nothing else on it.
+    pub fn call_on_own_connections(&mut self) {
+        self.tells_replies_apart = true;
+    }
+
     /// A run asks for a call.
     pub(super) fn call_needed(&mut self, now: Duration, id: RequestId, cursor: u64, body: Bytes) {
         let Some(live) = self.live.get(&id).filter(|live| live.call.cursor < cursor) else { return };
@@ -48,33 +62,40 @@
         live.pending = None;
         live.phase = Phase::AtCall;
         (live.call.cursor, live.call.body) = (cursor, body);
+        live.call.history.begin_call();
         if live.is_orphan {
             return self.go_without_call(now, id);
         }
+        if !self.tells_replies_apart && !live.call.history.allows_call() {
+            return self.leave_out_ambiguous_call(now, id);
+        }
         self.allow(id);
         self.events.push_back(Event::CallNeeded { id });
     }
 
+    /// A reply to the call could not be told from one that an earlier call is still owed: it is not made.
+    fn leave_out_ambiguous_call(&mut self, now: Duration, id: RequestId) {
+        self.counters.calls_ambiguous += 1;
+        self.go_without_call(now, id);
+        if self.live.get(&id).is_some_and(|live| live.conn.is_none()) {
+            self.events.push_back(Event::Withdrawn { id });
+        }
+    }
+
     pub(super) fn call(&mut self, now: Duration, id: RequestId, give_up_after: Duration) {
         let Some(live) = self.live.get_mut(&id).filter(|l| l.phase == Phase::AtCall) else { return };
         self.last_attempt = self.last_attempt.wrapping_add(1);
         live.call.attempt = self.last_attempt;
         live.call.began = Some(now);
         let (handle, attempt, body) = (live.handle, live.call.attempt, live.call.body.clone());
+        let earlier = live.call.history.replies().into();
         let once = self.site.settings.classes[live.class].repeat != Repeat::Idempotent;
         // A connection with a past may bring a late copy of this request's last reply, or be forgotten.
         let fresh = std::mem::replace(&mut live.call.was_tried, true) || once;
         self.counters.calls_made += 1;
         let route = live.route.as_ref().map(|r| Box::new(r.call(&self.site.class_names[live.class])));
-        self.effects.push(Effect::Call {
-            handle,
-            attempt,
-            once,
-            fresh,
-            patience: give_up_after,
-            body,
-            route,
-        });
+        let patience = give_up_after;
+        self.effects.push(Effect::Call { handle, attempt, once, fresh, earlier, patience, body, route });
         self.arm(now + give_up_after + CALL_OVERDUE, Timer::CallLate(id, attempt));
     }
 
@@ -93,12 +114,21 @@
         let outcome = match (end.outcome(), reply) {
             (Outcome::Done, Some(arg)) => {
                 live.phase = Phase::Running;
+                live.call.history.replied(&arg);
                 let cursor = live.call.cursor;
                 self.say_of(id, Command::Deliver { handle, cursor, arg });
                 Outcome::Done
             }
             (Outcome::Done, None) => Outcome::Error,
-            (outcome, _) => outcome,
+            (outcome, _) => {
+                let is_its_own = live.call.history.ended(end) || self.tells_replies_apart;
+                let once = self.site.settings.classes[live.class].repeat != Repeat::Idempotent;
+                // A copy of an earlier word does not prove that this attempt never ran.
+                match once && outcome.never_ran() && !is_its_own {
+                    true => Outcome::Error,
+                    false => outcome,
+                }
+            }
         };
         if outcome.never_ran() {
             self.allow(id);
@@ -120,6 +150,7 @@
     pub(super) fn give_up_call(&mut self, id: RequestId) {
         let Some(live) = self.live.get_mut(&id) else { return };
         if live.call.began.take().is_some() {
+            live.call.history.gave_up();
             let (handle, attempt) = (live.handle, live.call.attempt);
             self.effects.push(Effect::Uncall { handle, attempt });
         }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -41,6 +41,10 @@
     pub calls_made: u64,
     /// Calls left out.
     pub calls_skipped: u64,
+    /// Calls that were not made, as a reply to them could not be told from one that an earlier call is owed.
+    pub calls_ambiguous: u64,
+    /// Replies from below that were passed over: copies of earlier ones, or other requests'.
+    pub stray_replies: u64,
     /// Links to the agent that broke.
     pub links_lost: u64,
     /// Commands in doubt after a broken link that were said again, as that does no harm.
@@ -95,6 +99,8 @@
             ("second_runs_barred", self.second_runs_barred),
             ("calls_made", self.calls_made),
             ("calls_skipped", self.calls_skipped),
+            ("calls_ambiguous", self.calls_ambiguous),
+            ("stray_replies", self.stray_replies),
             ("links_lost", self.links_lost),
             ("commands_repeated", self.commands_repeated),
             ("runs_orphaned", self.runs_orphaned),
--- a/src/core/end.rs
+++ b/src/core/end.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// A service below tells it by a word of its own, of which a copy may come.
+    pub fn is_told_below(self) -> bool {
+        matches!(self, Self::NotNow | Self::Failed | Self::Pointless | Self::Stale)
+    }
+
+    /// A call that ended so may still get a reply.
+    pub fn leaves_reply_owed(self) -> bool {
+        matches!(self, Self::Overdue | Self::Broken | Self::Malformed | Self::Stalled)
+    }
+
     /// Its word in the counters.
     pub fn word(self) -> &'static str {
         match self {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod answer_deadlines;
 mod answers;
 mod arrivals;
+mod call_history;
 mod calls;
 mod counters;
 mod delivery;
@@ -29,6 +30,7 @@
 use crate::settings::Site;
 
 use answer_deadlines::AnswerDeadlines;
+pub use call_history::ReplyDigest;
 use calls::CallState;
 pub use counters::Counters;
 use delivery::{Outbox, Pending, Said};
@@ -113,6 +115,8 @@
     outbox: Outbox,
     /// The number of the last attempt at a call, over all requests: one that comes again under its name has others.
     last_attempt: u32,
+    /// Each call below is answered on a connection of its own: no reply can be taken for that to another call.
+    tells_replies_apart: bool,
     /// Classes that the site has no more, and until when requests of them are taken.
     served_until: BTreeMap<usize, Duration>,
     partner: succession::Partner,
@@ -158,6 +162,7 @@
             greeted: false,
             outbox: Outbox::default(),
             last_attempt: 0,
+            tells_replies_apart: false,
             served_until: BTreeMap::new(),
             partner: succession::Partner::default(),
             ways: None,
@@ -253,6 +258,7 @@
             Input::Rejected => self.counters.rejected += 1,
             Input::Unsent(end) => self.counters.unsent(end),
             Input::Violated => self.counters.violations += 1,
+            Input::StrayReply => self.counters.stray_replies += 1,
             Input::Agent { link, notice } => self.agent(now, link, notice),
             Input::CallEnded { handle, attempt, end, reply, fence } => {
                 self.went_out(handle, fence);
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::End;
+use super::{End, ReplyDigest};
 use crate::fleet::experiment::counts::Kind;
 use crate::fleet::routes::Fence;
 use crate::fleet::routing;
@@ -110,6 +110,8 @@
     Unsent(End),
     /// The connections withheld what a rule forbids.
     Violated,
+    /// A reply from below was passed over: it is a copy of an earlier one of the request, or another request's.
+    StrayReply,
     /// The agent told something, or its link did.
     Agent {
         /// The link over which it came.
@@ -445,6 +447,8 @@
         once: bool,
         /// It needs a connection that carried nothing before.
         fresh: bool,
+        /// The replies to earlier calls of the request: a copy of one is not the reply to this call.
+        earlier: Arc<[ReplyDigest]>,
         /// How long it is waited for.
         patience: Duration,
         /// Its body.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -161,7 +161,10 @@
         };
         let below = match config.appliance.scgi_below.filter(|_| config.vault.is_none()) {
             // Settings that have routes on as well are turned down: nothing of theirs reaches such a service.
-            Some(address) if hub.routing.is_none() => Below::Scgi(address),
+            Some(address) if hub.routing.is_none() => {
+                core.call_on_own_connections();
+                Below::Scgi(address)
+            }
             _ => Below::Vault(vault::Link::start(&hub)),
         };
         let control = Arc::new(AtomicBool::new(true));
@@ -348,12 +351,20 @@
                 Runner::Application(application) => application.send(command),
                 Runner::None => {}
             },
-            Effect::Call { handle, attempt, fresh, patience, body, route, .. } => match &self.below {
-                Below::Vault(vault) => {
-                    vault.send(vault::Order::Ask { handle, attempt, fresh, patience, body, route })
+            Effect::Call { handle, attempt, fresh, earlier, patience, body, route, .. } => {
+                match &self.below {
+                    Below::Vault(vault) => vault.send(vault::Order::Ask {
+                        handle,
+                        attempt,
+                        fresh,
+                        earlier,
+                        patience,
+                        body,
+                        route,
+                    }),
+                    Below::Scgi(service) => scgi::call(*service, &self.hub, handle, attempt, patience, body),
                 }
-                Below::Scgi(service) => scgi::call(*service, &self.hub, handle, attempt, patience, body),
-            },
+            }
             Effect::Uncall { handle, attempt } => {
                 // An SCGI call has no word for this: it ends with its own time.
                 if let Below::Vault(vault) = &self.below {
--- a/src/net/vault/mod.rs
+++ b/src/net/vault/mod.rs
@@ -20,7 +20,7 @@
 use super::lines::Buffer;
 use super::stream::Conn;
 use super::{spawn, Hub};
-use crate::core::{Bytes, End, Handle, Input};
+use crate::core::{Bytes, End, Handle, Input, ReplyDigest};
 use crate::fleet::routes::{Fence, MOST_BOUND};
 use crate::fleet::routing::{Allowed, Call, Routed};
 
@@ -53,6 +53,8 @@
         attempt: u32,
         /// It needs a connection that carried nothing before.
         fresh: bool,
+        /// The replies to earlier calls of the request: a copy of one is passed over.
+        earlier: Arc<[ReplyDigest]>,
         /// How long it is waited for.
         patience: Duration,
         /// Its body.
@@ -138,7 +140,7 @@
     /// Carries out an order; never waits.
     pub fn send(&self, order: Order) {
         match order {
-            Order::Ask { handle, attempt, fresh, patience, body, route } => {
+            Order::Ask { handle, attempt, fresh, earlier, patience, body, route } => {
                 let mut pool = lock(&self.pool);
                 let room = pool.out.len() < self.hub.most_calls();
                 if room {
@@ -147,7 +149,8 @@
                     }
                 }
                 drop(pool);
-                let ask = Ask { handle, attempt, fresh, patience, body, route, began: Instant::now() };
+                let began = Instant::now();
+                let ask = Ask { handle, attempt, fresh, earlier, patience, body, route, began };
                 let (hub, pool) = (self.hub.clone(), self.pool.clone());
                 spawn(move || {
                     let (end, reply, fence) = match room {
@@ -182,6 +185,7 @@
     handle: Handle,
     attempt: u32,
     fresh: bool,
+    earlier: Arc<[ReplyDigest]>,
     /// How long it may take from when it was ordered.
     patience: Duration,
     began: Instant,
@@ -197,6 +201,19 @@
     fn left(&self) -> Duration {
         self.until().saturating_duration_since(Instant::now())
     }
+
+    /// An earlier call of the request got this reply.
+    fn has_read(&self, reply: Option<&[u8]>) -> bool {
+        reply.is_some_and(|reply| self.earlier.contains(&ReplyDigest::of(reply)))
+    }
+}
+
+/// The reply to a call.
+struct Reply {
+    end: End,
+    body: Option<Bytes>,
+    /// Its connection brought other replies before.
+    followed_strays: bool,
 }
 
 /// Where a call goes now.
@@ -244,9 +261,9 @@
         // A routed call may have waited for the moment of a switch, and is told what is left.
         let patience = if fence.is_some() { ask.left() } else { ask.patience };
         let ended = match conn.write_all(&encode_ask(ask.handle, patience, &ask.body, fence)) {
-            Ok(()) => match read_reply(&mut link, ask.handle, ask.until()) {
+            Ok(()) => match self.read_reply(&mut link, &ask) {
                 // A word that only services know whose calls are routed.
-                Ok((End::Stale, _)) if fence.is_none() => Err(End::Malformed),
+                Ok(Reply { end: End::Stale, .. }) if fence.is_none() => Err(End::Malformed),
                 ended => ended,
             },
             Err(e) => Err(if is_timeout(&e) { End::Stalled } else { End::Broken }),
@@ -257,12 +274,13 @@
         }
         // A connection that brought more than its own reply, or none that can be read, is not used again.
         let room = pool.idle.len() < MOST_IDLE.0.min(self.hub.most_calls() / MOST_IDLE.1);
-        if ended.is_ok() && link.lines.is_empty() && pool.epoch == epoch && room {
+        let is_clean = ended.as_ref().is_ok_and(|reply| !reply.followed_strays) && link.lines.is_empty();
+        if is_clean && pool.epoch == epoch && room {
             pool.idle.push((conn, address, Instant::now()));
         } else {
             conn.shutdown(Shutdown::Both);
         }
-        let (end, reply) = ended.unwrap_or_else(|end| (end, None));
+        let (end, reply) = ended.map_or_else(|end| (end, None), |reply| (reply.end, reply.body));
         let may_have_run = !end.outcome().never_ran();
         if !may_have_run {
             pool.never_ran(ask.handle, ask.attempt, before);
@@ -289,9 +307,18 @@
                 None => return Err(End::Cancelled),
             }
             let Some(fence) = leg.fence else {
+                if !conn.is_quiet() {
+                    self.drop_spoilt(&conn);
+                    continue;
+                }
                 return Ok(Ready { conn, address, epoch, fence: None, before: None });
             };
             let now = self.leg(ask, &mut waits)?;
+            if !conn.is_quiet() {
+                self.drop_spoilt(&conn);
+                leg = now;
+                continue;
+            }
             // Of one version any of its addresses will do: another look may have drawn another one.
             if now.fence == leg.fence {
                 let mut pool = lock(self.pool);
@@ -312,7 +339,33 @@
             conn.shutdown(Shutdown::Both);
             leg = now;
         }
-        Err(End::Barred)
+        // Of a call that is not routed, no connection could be had that was not spoilt.
+        Err(if leg.fence.is_some() { End::Barred } else { End::Refused })
+    }
+
+    /// What comes before a call is written is no reply to it, and a connection that brings such is not used.
+    fn drop_spoilt(&self, conn: &Conn) {
+        conn.shutdown(Shutdown::Both);
+        self.hub.push(Input::StrayReply);
+    }
+
+    /// Reads up to the reply of a call: replies under other ids are nobody's, copies of earlier ones are not its own.
+    fn read_reply(&self, link: &mut Buffer, ask: &Ask) -> Result<Reply, End> {
+        link.until(ask.until());
+        let mut replies = Replies::default();
+        let mut followed_strays = false;
+        loop {
+            match replies.next_reply(&mut link.lines)? {
+                Some((whose, end, body)) if whose == ask.handle && !ask.has_read(body.as_deref()) => {
+                    return Ok(Reply { end, body, followed_strays });
+                }
+                Some(_) => {
+                    followed_strays = true;
+                    self.hub.push(Input::StrayReply);
+                }
+                None => link.more()?,
+            }
+        }
     }
 
     /// Where the call goes now. Inside a switch it waits, no longer than `waits` in all.
@@ -367,18 +420,5 @@
     Some((conn, epoch))
 }
 
-/// Reads up to the reply of this request; replies under other ids are nobody's.
-fn read_reply(link: &mut Buffer, handle: Handle, until: Instant) -> Result<(End, Option<Bytes>), End> {
-    link.until(until);
-    let mut replies = Replies::default();
-    loop {
-        match replies.next_reply(&mut link.lines)? {
-            Some((whose, end, reply)) if whose == handle => return Ok((end, reply)),
-            Some(_) => {}
-            None => link.more()?,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/vault/tests.rs
+++ b/src/net/vault/tests.rs
@@ -73,7 +73,15 @@
     fn ask(&self, attempt: u32, fresh: bool, patience: Duration) {
         let handle = "00000000000000aa".parse().unwrap();
         let route = Some(Box::default());
-        self.link.send(Order::Ask { handle, attempt, fresh, patience, body: [b'x'].into(), route });
+        self.link.send(Order::Ask {
+            handle,
+            attempt,
+            fresh,
+            earlier: Arc::from([]),
+            patience,
+            body: [b'x'].into(),
+            route,
+        });
     }
 
     /// How the next call ended, and what it went out under.
@@ -191,3 +199,108 @@
     }
     assert!(bench.double.looks().iter().all(|call| call.tried.is_none()));
 }
+
+/// A service below whose connections, one after the other, follow a script each; returns its address.
+fn scripted(scripts: Vec<fn(&mut Scripted)>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for (script, stream) in scripts.into_iter().zip(listener.incoming().flatten()) {
+            let mut side = Scripted { writes: stream.try_clone().unwrap(), reads: BufReader::new(stream) };
+            std::thread::spawn(move || {
+                script(&mut side);
+                // Open until the other side closes it.
+                let _ = side.reads.read_to_end(&mut Vec::new());
+            });
+        }
+    });
+    at
+}
+
+/// The service's side of a connection.
+struct Scripted {
+    reads: BufReader<std::net::TcpStream>,
+    writes: std::net::TcpStream,
+}
+
+impl Scripted {
+    fn ask(&mut self) {
+        let mut line = String::new();
+        self.reads.read_line(&mut line).unwrap();
+        let len: usize = line.trim_end().split(' ').nth(3).unwrap().parse().unwrap();
+        self.reads.read_exact(&mut vec![0; len + 2]).unwrap();
+    }
+
+    fn reply(&mut self, handle: &str, body: &str) {
+        write!(self.writes, "{handle} yes {}\r\n{body}\r\n", body.len()).unwrap();
+    }
+}
+
+const ID: &str = "00000000000000aa";
+const OTHER: &str = "00000000000000bb";
+
+/// Makes the second call of a request, after its first one was answered on a connection of its own.
+fn second_call(then: &[fn(&mut Scripted)], looks: Vec<Routed>) -> Option<Bytes> {
+    fn first(side: &mut Scripted) {
+        side.ask();
+        side.reply(ID, "one");
+    }
+    let double = Arc::new(Double::of(looks));
+    let scripts = [&[first as fn(&mut Scripted)], then].concat();
+    let (hub, inbox) = hub(Some(double), Some(scripted(scripts)));
+    let link = Link::start(&hub);
+    let mut last = None;
+    for attempt in [1, 2] {
+        let (handle, route) = (ID.parse().unwrap(), Some(Box::default()));
+        let earlier = last.iter().map(|reply: &Bytes| ReplyDigest::of(reply)).collect();
+        let (patience, body) = (PATIENCE, [b'x'].into());
+        link.send(Order::Ask { handle, attempt, fresh: true, earlier, patience, body, route });
+        last = loop {
+            match inbox.recv_timeout(PATIENCE) {
+                Ok(Input::CallEnded { reply, .. }) => break reply,
+                Ok(Input::StrayReply) => {}
+                other => panic!("{other:?}"),
+            }
+        };
+    }
+    last
+}
+
+#[test]
+fn a_late_copy_of_a_reply_that_comes_before_the_next_call_is_written_is_not_its_reply() {
+    // Guards against a reply to the call before, which comes first on the connection of this one.
+    fn early(side: &mut Scripted) {
+        side.reply(ID, "one");
+    }
+    fn then(side: &mut Scripted) {
+        side.ask();
+        side.reply(ID, "two");
+    }
+    // The call waits for the moment of a switch, connected and not written.
+    let wait = Routed::Wait(Instant::now() + Duration::from_millis(100));
+    let reply = second_call(&[early, then], vec![go(1, None), go(1, None), go(1, None), wait, go(1, None)]);
+    assert_eq!(reply.as_deref(), Some(&b"two"[..]));
+}
+
+#[test]
+fn a_late_copy_of_a_reply_that_comes_after_the_next_call_is_written_is_not_its_reply() {
+    // Guards against a reply to the call before, which names the request and not the call.
+    fn then(side: &mut Scripted) {
+        side.ask();
+        side.reply(ID, "one");
+        side.reply(ID, "two");
+    }
+    let reply = second_call(&[then], vec![go(1, None)]);
+    assert_eq!(reply.as_deref(), Some(&b"two"[..]));
+}
+
+#[test]
+fn a_reply_to_another_request_over_the_connection_of_a_call_is_not_its_reply() {
+    fn then(side: &mut Scripted) {
+        side.reply(OTHER, "other");
+        side.ask();
+        side.reply(OTHER, "other");
+        side.reply(ID, "two");
+    }
+    assert_eq!(second_call(&[then], vec![go(1, None)]).as_deref(), Some(&b"two"[..]));
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! The reducer, fed with inputs and a clock of the test's own.
 
 mod bench;
+mod calls;
 #[path = "../common/mod.rs"]
 mod common;
 mod lost_link;
