Take a process that cannot be looked at for alive in a handover

Seen: by reading, then by the test. When the link between two versions breaks, each asks whether the other process lives by reading its line in /proc. A read that failed for any reason counted as its end, and with all descriptors in use every read fails. The process was told to be gone while it lived, and the reducer decided again beside it: two that run the same keys.

Cause: the end was told on evidence (no line could be read) that does not exclude that the process lives.

Why it works: a signal 0 needs no descriptor, and ESRCH is the system's own word that there is no such process.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -17,8 +17,10 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 use nix::errno::Errno;
+use nix::sys::signal::kill;
 use nix::sys::socket::getsockopt;
 use nix::sys::socket::sockopt::PeerCredentials;
+use nix::unistd::Pid;
 use tracing::{info, warn};
 
 use super::front::read_some;
@@ -176,10 +178,15 @@
     getsockopt(stream, PeerCredentials).ok().map(|other| other.pid()).filter(|pid| *pid > 0)
 }
 
-/// It has not ended; one that waits for its parent to ask for its status has.
+/// It has not ended; one that waits for its parent to ask for its status has. Whoever cannot be looked at, such as for
+/// want of descriptors, is taken to live: it is looked at again.
 fn is_alive(process: i32) -> bool {
-    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
-    stat.rsplit_once(") ").is_some_and(|(_, state)| !state.starts_with(['Z', 'X']))
+    if kill(Pid::from_raw(process), None) == Err(Errno::ESRCH) {
+        return false;
+    }
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"));
+    let state = stat.as_ref().ok().and_then(|stat| stat.rsplit_once(") ")).map(|(_, state)| state);
+    !state.is_some_and(|state| state.starts_with(['Z', 'X']))
 }
 
 /// The link is over: tells the reducer that the other process is gone, as soon as it is. A link can break with both
@@ -433,6 +440,16 @@
     use super::*;
     use crate::settings::Links;
 
+    /// What the other process of a test is told; nothing in the test's own.
+    const OTHER_PROCESS: &str = "HOPWALK_TEST_OTHER_PROCESS";
+
+    /// Held while a process begins, which has all descriptors for a moment, and while a closed one must be gone.
+    static DESCRIPTORS: Mutex<()> = Mutex::new(());
+
+    fn hold_descriptors() -> MutexGuard<'static, ()> {
+        DESCRIPTORS.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     #[test]
     fn that_another_process_runs_is_told_before_anything_that_it_says_or_its_end() {
         // Guards against a new process that keeps to half of its share for life, as its old one died at once.
@@ -461,8 +478,34 @@
         assert_eq!([(); 3].map(told), expected);
     }
 
+    /// Runs the test `name` in a process of its own, whose part of it begins with `told` in the environment.
+    fn in_a_process_of_its_own(name: &str, told: &str) -> std::process::ExitStatus {
+        let _held = hold_descriptors();
+        let test = format!("net::handover::tests::{name}");
+        let command = ["-c", "ulimit -n 64; exec \"$@\"", "sh"];
+        let mut shell = std::process::Command::new("sh");
+        shell.args(command).arg(std::env::current_exe().unwrap()).args(["--exact", &test]);
+        shell.env(OTHER_PROCESS, told).status().unwrap()
+    }
+
+    #[test]
+    fn a_process_that_cannot_be_looked_at_for_want_of_descriptors_is_not_taken_for_gone() {
+        // Guards against two processes that both decide: the one that lives was told to be gone.
+        let Ok(parent) = std::env::var(OTHER_PROCESS) else {
+            let name = "a_process_that_cannot_be_looked_at_for_want_of_descriptors_is_not_taken_for_gone";
+            assert!(in_a_process_of_its_own(name, &std::process::id().to_string()).success());
+            return;
+        };
+        let parent = parent.parse().unwrap();
+        let all: Vec<_> = std::iter::from_fn(|| std::fs::File::open("/dev/null").ok()).collect();
+        let alive = is_alive(parent);
+        drop(all);
+        assert!(alive);
+    }
+
     #[test]
     fn a_socket_is_stale_once_nobody_listens_there_and_the_look_disturbs_no_listener() {
+        let _held = hold_descriptors();
         let path = std::env::temp_dir().join(format!("hopwalk-stale-{}.sock", std::process::id()));
         let listener = bind(&path).unwrap();
         listener.set_nonblocking(true).unwrap();
