Let the next process in only after the reducer knows that the one before is gone

Seen: by reading, then by the test. The thread that waits for processes that take over took the next one as soon as the one before had ended, while the reducer might still have 'begin' of that one, or requests for it, in its inbox. What the reducer then said went over the link that was open: the keys of a handover, or a request that was passed on, reached a process that had not asked for them. With 'complete' it listens and decides, while the old process decides again as it comes to 'successor gone': two that run the same keys.

Cause: a word for a successor names no link; which one it was for followed from the moment at which it was sent.

Why it works: the thread asks the reducer something and waits for the answer. Inputs are taken and effects are done in order, so all that the reducer meant for the one before has found no link by then. The next process waits in the backlog of the socket meanwhile.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -270,6 +270,8 @@
                     let other = process_of(&reads);
                     partner.listen(reads, &hub);
                     ended(other, &hub, Succession::SuccessorLost, Succession::SuccessorGone);
+                    // Until then the reducer may yet tell the one that is gone something, and no other is to hear it.
+                    hub.wait_for_reducer();
                 }
                 Err(e) => warn!("no link to the process that takes over: {e}"),
             }
@@ -503,6 +505,48 @@
         assert!(alive);
     }
 
+    #[test]
+    fn what_is_meant_for_a_successor_that_is_gone_does_not_reach_the_next_one() {
+        // Guards against two processes that both decide: keys handed over to one that ended came to the one after it.
+        let name = "what_is_meant_for_a_successor_that_is_gone_does_not_reach_the_next_one";
+        if let Ok(path) = std::env::var(OTHER_PROCESS) {
+            return UnixStream::connect(path).unwrap().write_all(b"begin\n").unwrap();
+        }
+        let path = std::env::temp_dir().join(format!("hopwalk-next-{}.sock", std::process::id()));
+        let (sender, inbox) = std::sync::mpsc::channel();
+        let links = Links { agent: None, vault: None, control: None };
+        let hub = Arc::new(Hub::new(sender, 64, links, Vec::new(), None, None));
+        let successor = offer(&path, &hub).unwrap();
+        assert!(in_a_process_of_its_own(name, path.to_str().unwrap()).success());
+        let told = || inbox.recv_timeout(Duration::from_secs(10)).unwrap();
+        assert!(matches!(told(), Input::Succession(Succession::Begin)));
+        assert!(matches!(told(), Input::Succession(Succession::SuccessorGone)));
+
+        // The reducer, which is this test, has taken neither yet when the next one connects.
+        let next = UnixStream::connect(&path).unwrap();
+        next.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let is_linked = || successor.lock().is_some();
+        let asked = loop {
+            match inbox.try_recv() {
+                Ok(Input::Query { ticket, .. }) => break Some(ticket),
+                _ if is_linked() => break None,
+                _ => thread::sleep(END_LOOK),
+            }
+        };
+        successor.send(Word::Keys(Vec::new(), false));
+        // Now it has taken both.
+        let answered = asked.and_then(|ticket| hub.queries().remove(&ticket));
+        answered.into_iter().for_each(|asker| asker.send(Vec::new()).unwrap());
+        while !is_linked() {
+            thread::sleep(END_LOOK);
+        }
+        successor.send(Word::Begin);
+        let mut line = String::new();
+        std::io::BufRead::read_line(&mut io::BufReader::new(next), &mut line).unwrap();
+        std::fs::remove_file(&path).unwrap();
+        assert_eq!(line, "begin\n", "the first word that is meant for it");
+    }
+
     #[test]
     fn a_socket_is_stale_once_nobody_listens_there_and_the_look_disturbs_no_listener() {
         let _held = hold_descriptors();
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -153,6 +153,15 @@
         (ticket, receiver)
     }
 
+    /// Waits until the reducer has taken all that was brought before, and what follows from it is done; to be called from
+    /// threads only.
+    pub(super) fn wait_for_reducer(&self) {
+        let (ticket, answer) = self.ask(Query::Status);
+        // No answer comes only while the process ends.
+        let _ = answer.recv();
+        self.queries().remove(&ticket);
+    }
+
     pub(super) fn queries(&self) -> MutexGuard<'_, HashMap<u64, Sender<Lines>>> {
         self.queries.lock().unwrap_or_else(PoisonError::into_inner)
     }
