Hand over no keys while some are missing that a gone process ran

Seen: by reading, then by the test. A new process takes over, runs a key and goes away. The old one decides again, and refuses keys that it does not know for their window. But a third process that asked in that time was handed the old one's keys at once, and nothing of the bar: it ran a repeat of such a key, a second run within its window.

Cause: a handover took the keys that are known for all keys there are; what the process before had run is known to nobody.

With this change it passes.

Why it works: the keys are handed over only once the window since the end of the process that is gone, and the longest wait of a keyed class, are over; later tries of such keys are new ones, and older ones are turned away already. Until then the old process decides. Where it leaves before, it hands over what it knows: the alternative is a new process that knows no keys at all.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -258,7 +258,10 @@
             Input::Ways(ways) => self.take_ways(ways),
             Input::Allows(routes) => self.take_allows(routes),
             Input::WentOut { handle, attempt, allowed } => self.goes_by(handle, attempt, allowed),
-            Input::Drain { noticed } => self.drain(now, noticed),
+            Input::Drain { noticed } => {
+                self.hand_over_before_leaving();
+                self.drain(now, noticed);
+            }
             Input::Succession(word) => self.succession(now, word),
             Input::Standby(on) => {
                 if std::mem::replace(&mut self.standby, on) != on {
@@ -352,6 +355,7 @@
             Timer::Sweep => {
                 let lateness = self.longest_wait();
                 self.keys.sweep(now, lateness);
+                self.hand_over_late(now);
                 // Requests that state a long wait and are answered at once leave their timers behind.
                 let live = &self.live;
                 self.timers.retain(|Reverse((_, timer))| match timer {
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -14,6 +14,10 @@
 use super::{leaving, Core, SWEEP};
 use crate::interface::{Repeat, RequestId, Settings};
 
+/// Why a new process does not get the keys at once.
+const LACKS_KEYS: &str =
+    "a new process waits for the keys: the one before it may have run some that are not known here, for their window";
+
 /// What a reducer knows of the other process.
 #[derive(Default)]
 pub(super) struct Partner {
@@ -31,6 +35,8 @@
     pub(super) halves: bool,
     /// The new process went away: tries that came up to then may repeat what it ran, and nobody here knows of.
     barred_until: Duration,
+    /// The next new process asked for the keys while some are missing here that the one before ran.
+    is_awaited: bool,
 }
 
 impl Partner {
@@ -71,20 +77,23 @@
                 self.effects.push(Effect::Alone);
             }
             Succession::Begin => {
-                self.partner.yields = true;
-                self.halve_calls(true);
-                self.effects.push(Effect::HandOver { keys: self.keys.all(), standby: self.standby });
+                self.partner.is_awaited = true;
+                match self.lacks_keys(now) && self.drain.is_none() {
+                    true => self.effects.push(Effect::Log(LACKS_KEYS.into())),
+                    false => self.hand_over(),
+                }
             }
             Succession::Answered { conn, answer } => {
                 if self.deadlines.is_passed_on(conn) {
                     self.give(conn, Answer { close: true, ..answer });
                 }
             }
-            // It runs keys that nobody here hears of: nothing may begin here until it is gone.
-            Succession::SuccessorLost if self.partner.yields => self.give_up_partner(),
             // Nothing was handed over to it.
-            Succession::SuccessorLost => {}
-            Succession::SuccessorGone if !self.partner.yields => {}
+            Succession::SuccessorLost | Succession::SuccessorGone if !self.partner.yields => {
+                self.partner.is_awaited = false;
+            }
+            // It runs keys that nobody here hears of: nothing may begin here until it is gone.
+            Succession::SuccessorLost => self.give_up_partner(),
             Succession::SuccessorGone => {
                 (self.partner.yields, self.partner.lost) = (false, false);
                 self.halve_calls(false);
@@ -96,6 +105,34 @@
         }
     }
 
+    /// A process that went away may have run keys that are unknown here, and tries of them may come, or be read, yet.
+    fn lacks_keys(&self, now: Duration) -> bool {
+        let until = self.partner.barred_until;
+        !until.is_zero() && now <= until + self.longest_wait()
+    }
+
+    /// Hands all keys to a new process, which decides from then on.
+    fn hand_over(&mut self) {
+        self.partner.is_awaited = false;
+        self.partner.yields = true;
+        self.halve_calls(true);
+        self.effects.push(Effect::HandOver { keys: self.keys.all(), standby: self.standby });
+    }
+
+    /// Hands over to a process that waits for the keys, once none are missing any more.
+    pub(super) fn hand_over_late(&mut self, now: Duration) {
+        if self.partner.is_awaited && !self.lacks_keys(now) {
+            self.hand_over();
+        }
+    }
+
+    /// A process that leaves takes its keys along: one that waits for them has those that are known at least.
+    pub(super) fn hand_over_before_leaving(&mut self) {
+        if self.partner.is_awaited {
+            self.hand_over();
+        }
+    }
+
     /// The end of a window that the old process told, within what the settings allow. One that is long over was told by
     /// another clock, as the old process does not keep such keys: its key stays taken for as long as it may.
     fn plausible_end(&self, now: Duration, until: Duration) -> Duration {
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -127,6 +127,44 @@
     assert_eq!(agent.launches().len(), 1, "nothing begins here any more");
 }
 
+#[test]
+fn keys_are_not_handed_over_while_some_are_missing_that_a_gone_process_ran() {
+    // Guards against a key that a new process ran before it went away, and the one after it runs again.
+    const WINDOW: (&str, &str) = (r#""memory_span_us": 13356000"#, r#""memory_span_us": 3000000"#);
+    let (agent, second_agent) = (Agent::start(1, QUICK, false), Agent::start(1, QUICK, false));
+    let site = vec![WINDOW, (r#""memory_span_us": 5000000"#, r#""memory_span_us": 3000000"#)];
+    let old = Program::start(Setup { site, ..with_agent(&agent) });
+    let second = old.successor(&agent, &second_agent);
+    assert_eq!(exchange(second.http, &Ask::keyed("k", b"x").http()).status, 200);
+    let since = std::time::Instant::now();
+    drop(second);
+
+    // This test is the third process.
+    let mut link = None;
+    wait_for("the handover socket", || {
+        link = std::os::unix::net::UnixStream::connect(old.dir.path("hopwalk-n7.sock")).ok();
+        link.is_some()
+    });
+    let mut link = link.unwrap();
+    link.write_all(b"begin\n").unwrap();
+    let said = |what: &str| old.log().matches(what).count();
+    wait_for("a word on the third process", || said("a new process") == 2);
+    assert_eq!(said("hands over to a new process"), 1, "{}", old.log());
+    assert_eq!(
+        exchange(old.http, &Ask::keyed("k", b"x").http()).status,
+        503,
+        "the old one decides until then"
+    );
+    assert_eq!(exchange(old.http, &Ask::new("queue-status", b"a").http()).status, 200);
+    let (mut told, mut chunk) = (String::new(), [0; 1024]);
+    while !told.contains("complete") {
+        let len = link.read(&mut chunk).unwrap();
+        assert!(len > 0, "{told}");
+        told += std::str::from_utf8(&chunk[..len]).unwrap();
+    }
+    assert!(since.elapsed() > Duration::from_secs(3), "{:?}", since.elapsed());
+}
+
 #[test]
 fn a_client_of_the_handover_socket_that_says_nothing_changes_nothing() {
     // Guards against keys that are refused for their whole window after anybody touched the socket.
