Hand over runs that another process has yet to end as open

Seen: by the test. Three processes: the first still runs a key, the second took over, the third took over from the second. The third had the key as ended without a result, and answered a repeat at once as failed (500), while the run was under way and its result came.

Cause: whether a key is open was read from the tries that are in this process. A run that the process before has yet to end has none here; and its end, once told, was passed on to nobody.

Why it works: what this process awaits is handed over as open, and told on once the process before has told it or is gone. No end is told before that, though a try that waited here leaves.

--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -116,7 +116,10 @@
         self.partner.is_awaited = false;
         self.partner.yields = true;
         self.halve_calls(true);
-        self.effects.push(Effect::HandOver { keys: self.keys.all(), standby: self.standby });
+        let awaited = &self.partner.open;
+        let is_open = |key: &KeyState| key.open || awaited.contains_key(&key.key);
+        let keys = self.keys.all().into_iter().map(|key| KeyState { open: is_open(&key), ..key }).collect();
+        self.effects.push(Effect::HandOver { keys, standby: self.standby });
     }
 
     /// Hands over to a process that waits for the keys, once none are missing any more.
@@ -161,10 +164,11 @@
 
     /// What the old process had open has ended, or ends unheard: the keys stay taken.
     fn end_waits(&mut self, now: Duration) {
-        self.partner.open.clear();
+        let unheard: Vec<_> = self.partner.open.drain().map(|(key, _)| key).collect();
         let mut waiters: Vec<_> = self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
         waiters.sort_unstable();
         waiters.into_iter().for_each(|id| self.end_join(now, id, None));
+        unheard.iter().for_each(|key| self.settle_key(key));
     }
 
     /// The process that decides is asked nothing any more; what it was asked gets an answer here.
@@ -207,9 +211,11 @@
         self.partner.waits.get_mut(&run).map(|waiters| waiters.push(id)).is_some()
     }
 
-    /// The last try of a key has left: the process that decides is told what came of it.
+    /// The last try of a key has left: the process that decides is told what came of it, unless a process before this one
+    /// has yet to tell.
     pub(super) fn settle_key(&mut self, key: &Key) {
-        if self.partner.yields && !self.keys.is_open(key) {
+        let is_awaited = self.partner.open.contains_key(key);
+        if self.partner.yields && !is_awaited && !self.keys.is_open(key) {
             let (ran, result) = (self.keys.ran(key).is_some(), self.keys.result(key));
             self.effects.push(Effect::Settled { key: key.clone(), ran, result });
         }
@@ -229,5 +235,7 @@
             }
             self.end_join(now, id, result.clone());
         }
+        // This process may have handed over meanwhile, and the next one awaits the same run.
+        self.settle_key(key);
     }
 }
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -165,6 +165,26 @@
     assert!(since.elapsed() > Duration::from_secs(3), "{:?}", since.elapsed());
 }
 
+#[test]
+fn the_end_of_a_run_reaches_a_third_process_by_way_of_the_second() {
+    // Guards against a key that stays taken in the newest of three processes, though the oldest told what came of it.
+    let slow = Agent::start(1, Duration::from_millis(2000), false);
+    let (second_agent, third_agent) = (Agent::start(1, QUICK, false), Agent::start(1, QUICK, false));
+    let oldest = Program::start(with_agent(&slow));
+    let ask = Ask { patience_ms: 4_500, ..Ask::keyed("k", b"x") };
+    let mut open = connect(oldest.http);
+    open.write_all(&ask.http()).unwrap();
+    wait_for("the launch", || slow.launches().len() == 1);
+    let second = oldest.successor(&slow, &second_agent);
+    let third = second.successor(&second_agent, &third_agent);
+    let mut again = connect(third.http);
+    again.write_all(&ask.http()).unwrap();
+    let answers = [&mut open, &mut again].map(read_answer).map(|answer| (answer.status, answer.body));
+    assert_eq!(answers, [(200, b"made:x".to_vec()), (200, b"made:x".to_vec())]);
+    let launches = [&slow, &second_agent, &third_agent].map(|agent| agent.launches().len());
+    assert_eq!(launches, [1, 0, 0]);
+}
+
 #[test]
 fn a_client_of_the_handover_socket_that_says_nothing_changes_nothing() {
     // Guards against keys that are refused for their whole window after anybody touched the socket.
