Take no certificate that is of another key

Seen: by the test. An authority may answer an order with a certificate of an earlier one, whose key was made and dropped by an attempt that failed in between. It was stored and put in use with the key of the present attempt, in place of a certificate that works; every TLS handshake fails from then on, until the next renewal. The same held for a stored file whose key is missing or another.

Cause: that a certificate is of the present key was taken from the order in which the two were made.

Why it works: a certificate is read with its key only if the two match, by the same check that a handshake makes (rustls). An order with another one has failed and is made again; a stored one is ordered anew.

--- a/src/acme/store.rs
+++ b/src/acme/store.rs
@@ -6,8 +6,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
+use rustls::crypto::ring::default_provider;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::CertificateDer;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::sign::CertifiedKey;
 use x509_parser::extensions::GeneralName;
 
 use super::error::AcmeError;
@@ -31,13 +33,19 @@
 }
 
 impl Certificate {
-    /// Reads a key and a chain; the first certificate of the chain is the one that counts.
+    /// Reads a key and a chain; the first certificate of the chain is the one that counts, and is to be of that key.
     pub fn parse(pem: &str) -> Result<Self, AcmeError> {
         let wrong = |what, said: String| AcmeError::Certificate { what, said };
         let der = CertificateDer::from_pem_slice(pem.as_bytes());
         let der = der.map_err(|e| wrong("no certificate", e.to_string()))?;
         let x509 = x509_parser::parse_x509_certificate(&der);
         let (_, x509) = x509.map_err(|e| wrong("the certificate", e.to_string()))?;
+        let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
+        let chain = chain.map_err(|e| wrong("the chain", e.to_string()))?;
+        let key = PrivateKeyDer::from_pem_slice(pem.as_bytes());
+        let key = key.map_err(|e| wrong("no key", e.to_string()))?;
+        let fits = CertifiedKey::from_der(chain, key, &default_provider());
+        fits.map_err(|e| wrong("the key of the certificate", e.to_string()))?;
         let at = |seconds: i64| {
             SystemTime::UNIX_EPOCH + Duration::from_secs(u64::try_from(seconds).unwrap_or_default())
         };
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -157,6 +157,22 @@
     assert_eq!(appliance.says("certificate", "failures"), "0");
 }
 
+#[test]
+fn a_certificate_of_another_key_is_not_taken() {
+    // Guards against a certificate that no handshake can use in place of one that works: it was of an earlier order.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let authority = Authority::start(challenges, Rules { other_key: true, life: MONTHS, ..Rules::default() });
+    let appliance = Appliance::start(&acme(authority.address, challenges, &store));
+    wait_for("the end of an order", || {
+        ["orders", "failures"].iter().any(|what| appliance.says("certificate", what) != "0")
+    });
+    assert_eq!(appliance.says("certificate", "certificate"), "none");
+    assert!(!store.join("certificate.pem").exists());
+    authority.rules.lock().unwrap().other_key = false;
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+}
+
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
     let dir = Scratch::new();
--- a/tests/program/authority.rs
+++ b/tests/program/authority.rs
@@ -22,6 +22,8 @@
     pub bad_nonces: u32,
     /// Challenges are failed whatever is found.
     pub fail_challenges: bool,
+    /// Certificates are of another key than was asked for: as of an earlier order.
+    pub other_key: bool,
     pub life: Duration,
 }
 
@@ -96,6 +98,13 @@
     csr.signed_by(root, key).unwrap().pem() + &root.pem()
 }
 
+/// A request for a certificate, of a key that nobody has.
+fn request(names: &[String]) -> Vec<u8> {
+    let params = rcgen::CertificateParams::new(names.to_vec()).unwrap();
+    let key = rcgen::KeyPair::generate().unwrap();
+    params.serialize_request(&key).unwrap().der().to_vec()
+}
+
 fn serve(
     stream: TcpStream,
     address: SocketAddr,
@@ -231,7 +240,8 @@
             Reply(200, vec![], r#"{"status":"processing"}"#.to_string())
         }
         "/finalize" => {
-            let csr = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
+            let asked = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
+            let csr = if rules.other_key { request(&known.names) } else { asked };
             known.issued = Some(issue(&csr, rules.life));
             Reply(200, vec![], order(known))
         }
