Take no certificate that is for other names than were ordered

Seen: by the test. An authority may answer an order with an earlier one, of names that were wanted before. Its certificate was stored and put in use in place of the one at hand, was due at once for its names, and was ordered again and again at the pace of the first wait.

Cause: that a certificate is of the present order was taken from the order in which they came; its names were read only to decide when to renew it.

Why it works: a certificate that lacks a wanted name is an order that failed: the one at hand stays, and the waits grow. Names are compared without regard to capitals, as those of hosts are; a domain in capitals, by reading, was ordered again and again before.

--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -110,6 +110,10 @@
             if certificate.not_after <= SystemTime::now() {
                 return Err(AcmeError::Expired);
             }
+            if let Some(domain) = lacking(&certificate, &settings.domains) {
+                let said = format!("{domain} is not one of them: {}", certificate.names.join(" "));
+                return Err(AcmeError::Certificate { what: "the names of the certificate", said });
+            }
             store.keep_certificate(&pem).map_err(AcmeError::Storage)?;
             Ok(certificate)
         });
@@ -140,9 +144,15 @@
     }
 }
 
+/// A name that is wanted, and that the certificate is not for.
+fn lacking<'a>(certificate: &Certificate, domains: &'a [String]) -> Option<&'a String> {
+    // Names of hosts are the same in capitals.
+    domains.iter().find(|domain| !certificate.names.iter().any(|name| name.eq_ignore_ascii_case(domain)))
+}
+
 /// When a certificate is to be renewed; at once if it is for other names than are wanted.
 fn renew_at(certificate: &Certificate, domains: &[String]) -> SystemTime {
-    if domains.iter().any(|domain| !certificate.names.contains(domain)) {
+    if lacking(certificate, domains).is_some() {
         return SystemTime::UNIX_EPOCH;
     }
     let life = certificate.not_after.duration_since(certificate.not_before).unwrap_or_default();
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use hopwalk::lab::shim::{Dial, Shim};
+use rstest::rstest;
 
 use super::authority::{Authority, Rules};
 use super::clock::shim;
@@ -157,19 +158,21 @@
     assert_eq!(appliance.says("certificate", "failures"), "0");
 }
 
-#[test]
-fn a_certificate_of_another_key_is_not_taken() {
-    // Guards against a certificate that no handshake can use in place of one that works: it was of an earlier order.
+#[rstest]
+#[case::key(Rules { other_key: true, life: MONTHS, ..Rules::default() })]
+#[case::name(Rules { other_name: Some("bar.example"), life: MONTHS, ..Rules::default() })]
+fn a_certificate_of_another_order_is_not_taken(#[case] rules: Rules) {
+    // Guards against a certificate that no caller can use in place of one that works: it was of an earlier order.
     let (challenges, dir) = (gone(), Scratch::new());
     let store = dir.path("acme");
-    let authority = Authority::start(challenges, Rules { other_key: true, life: MONTHS, ..Rules::default() });
+    let authority = Authority::start(challenges, rules);
     let appliance = Appliance::start(&acme(authority.address, challenges, &store));
     wait_for("the end of an order", || {
         ["orders", "failures"].iter().any(|what| appliance.says("certificate", what) != "0")
     });
     assert_eq!(appliance.says("certificate", "certificate"), "none");
     assert!(!store.join("certificate.pem").exists());
-    authority.rules.lock().unwrap().other_key = false;
+    *authority.rules.lock().unwrap() = Rules { life: MONTHS, ..Rules::default() };
     wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
 }
 
--- a/tests/program/authority.rs
+++ b/tests/program/authority.rs
@@ -24,6 +24,8 @@
     pub fail_challenges: bool,
     /// Certificates are of another key than was asked for: as of an earlier order.
     pub other_key: bool,
+    /// Certificates are of this name, whatever was asked for.
+    pub other_name: Option<&'static str>,
     pub life: Duration,
 }
 
@@ -79,7 +81,7 @@
         let (rules, known) = (authority.rules.clone(), authority.known.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let issue = |csr: &[u8], life| issue(csr, life, &root, &key);
+                let issue = |csr: &[u8], rules: &Rules| issue(csr, rules, &root, &key);
                 serve(stream, address, challenges, &rules, &known, issue);
             }
         });
@@ -91,10 +93,13 @@
     }
 }
 
-fn issue(csr: &[u8], life: Duration, root: &rcgen::Certificate, key: &rcgen::KeyPair) -> String {
+fn issue(csr: &[u8], rules: &Rules, root: &rcgen::Certificate, key: &rcgen::KeyPair) -> String {
     let mut csr = rcgen::CertificateSigningRequestParams::from_der(&csr.to_vec().into()).unwrap();
+    if let Some(name) = rules.other_name {
+        csr.params.subject_alt_names = vec![rcgen::SanType::DnsName(name.try_into().unwrap())];
+    }
     csr.params.not_before = SystemTime::now().into();
-    csr.params.not_after = (SystemTime::now() + life).into();
+    csr.params.not_after = (SystemTime::now() + rules.life).into();
     csr.signed_by(root, key).unwrap().pem() + &root.pem()
 }
 
@@ -111,7 +116,7 @@
     challenges: SocketAddr,
     rules: &Mutex<Rules>,
     known: &Mutex<Known>,
-    issue: impl Fn(&[u8], Duration) -> String,
+    issue: impl Fn(&[u8], &Rules) -> String,
 ) {
     let (mut reads, mut writes) = (BufReader::new(stream.try_clone().unwrap()), stream);
     let (mut head, mut len) = (String::new(), 0);
@@ -191,7 +196,7 @@
     challenges: SocketAddr,
     rules: &Rules,
     known: &mut Known,
-    issue: impl Fn(&[u8], Duration) -> String,
+    issue: impl Fn(&[u8], &Rules) -> String,
 ) -> Reply {
     let order = |known: &Known| {
         let status = match (&known.issued, known.authorized) {
@@ -242,7 +247,7 @@
         "/finalize" => {
             let asked = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
             let csr = if rules.other_key { request(&known.names) } else { asked };
-            known.issued = Some(issue(&csr, rules.life));
+            known.issued = Some(issue(&csr, rules));
             Reply(200, vec![], order(known))
         }
         "/cert" => Reply(200, vec![], known.issued.clone().unwrap()),
