Answer a prepare by connections that were opened for its own turn

Seen: by the tests. A member tries the pools of a table and then says that it is prepared, or refuses. What came of a try named the table, not the turn. So an activation of a version whose earlier activation was aborted was answered as prepared, without any try, by connections of that one, however long ago; and a try of the aborted one that failed late refused the present one, though the service was there by then.

Cause: the turn that a try belongs to was taken from the moment at which it ended.

Why it works: an opening and its result carry the turn. A result of a turn that is not in force, on its way or about to be is dropped, and a table is open only for the turn that its connections were tried for. A refusal is forgotten with every other turn, also where the member hears of it first as committed.

--- a/src/fleet/driver/part.rs
+++ b/src/fleet/driver/part.rs
@@ -24,7 +24,7 @@
 use crate::fleet::record::disk::Disk;
 use crate::fleet::routes::member::{Effect, Input};
 use crate::fleet::routes::table::{Hash, Known};
-use crate::fleet::routes::{Ask, Fence, Pace};
+use crate::fleet::routes::{Ask, Fence, Pace, Turn};
 use crate::fleet::routing::{Asked, Routing};
 use crate::fleet::wire::message::Running;
 use crate::fleet::wire::{Client, Local, Pushed, Request, Response};
@@ -54,7 +54,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 enum Errand {
     Fetch(Hash),
-    Open(Hash),
+    Open(Turn, Hash),
 }
 
 /// What the tasks of the thread share.
@@ -324,10 +324,10 @@
                 Effect::Fetch(hash) if self.begins(Errand::Fetch(hash)) => {
                     tokio::spawn(self.clone().fetch(hash));
                 }
-                Effect::Open(hash) if self.begins(Errand::Open(hash)) => {
-                    tokio::spawn(self.clone().open(hash));
+                Effect::Open(turn, hash) if self.begins(Errand::Open(turn, hash)) => {
+                    tokio::spawn(self.clone().open(turn, hash));
                 }
-                Effect::Fetch(_) | Effect::Open(_) => {}
+                Effect::Fetch(_) | Effect::Open(..) => {}
                 Effect::Switched(fence) => self.switched(fence, leased),
             }
         }
@@ -452,8 +452,8 @@
         }
     }
 
-    /// Tries all pools of a table.
-    async fn open(self: Arc<Self>, hash: Hash) {
+    /// Tries all pools of a table, for a turn.
+    async fn open(self: Arc<Self>, turn: Turn, hash: Hash) {
         let addresses: BTreeSet<SocketAddr> =
             self.routing.held().member.addresses(hash).into_iter().collect();
         let (mut tries, mut opened) = (JoinSet::new(), Ok(()));
@@ -475,7 +475,7 @@
         while let Some(done) = tries.join_next().await {
             take(done.ok());
         }
-        self.ends(Errand::Open(hash));
-        self.step(Input::Opened(hash, opened));
+        self.ends(Errand::Open(turn, hash));
+        self.step(Input::Opened(turn, hash, opened));
     }
 }
--- a/src/fleet/routes/member.rs
+++ b/src/fleet/routes/member.rs
@@ -28,8 +28,8 @@
     Reply(Reply),
     /// A table came, in whatever form.
     Fetched(Hash, String),
-    /// The connections to a table's pools are open, or one address could not be reached.
-    Opened(Hash, Result<(), SocketAddr>),
+    /// The connections to a table's pools were opened for a turn, or one address could not be reached.
+    Opened(Turn, Hash, Result<(), SocketAddr>),
 }
 
 /// What a step asks for.
@@ -39,8 +39,8 @@
     Ask(Ask),
     /// Fetch a table.
     Fetch(Hash),
-    /// Open connections to the pools of this table.
-    Open(Hash),
+    /// Open connections to the pools of this table, for this turn.
+    Open(Turn, Hash),
     /// This is in force here from now on.
     Switched(Fence),
 }
@@ -83,7 +83,8 @@
     active: Option<Activation>,
     switch: Option<(Activation, Window)>,
     wanted: Option<Activation>,
-    tables: BTreeMap<Hash, (Table, bool)>,
+    /// The tables that were fetched, and for which turn their connections were opened last.
+    tables: BTreeMap<Hash, (Table, Option<Turn>)>,
     refused: Option<(Hash, Refusal)>,
     asks: BTreeMap<u64, Duration>,
     number: u64,
@@ -132,10 +133,7 @@
             Input::Nudge => self.ask_at = now,
             Input::Reply(reply) => self.reply(now, reply, &mut effects),
             Input::Fetched(hash, document) => self.fetched(hash, &document, &mut effects),
-            Input::Opened(hash, Ok(())) => {
-                self.tables.entry(hash).and_modify(|(_, open)| *open = true);
-            }
-            Input::Opened(hash, Err(address)) => self.refused = Some((hash, Refusal::Connect { address })),
+            Input::Opened(turn, hash, opened) => self.opened(turn, hash, opened),
         }
         if let Some((next, _)) = self.switch.filter(|(_, window)| now >= window.high) {
             if self.lease.holds(now) {
@@ -166,11 +164,11 @@
         if self.asks.len() > MOST_ASKS {
             self.asks.pop_first();
         }
-        for a in [self.active, self.wanted, self.switch.map(|(a, _)| a)].into_iter().flatten() {
+        for a in self.concerned() {
             let bad = self.refused.as_ref().is_some_and(|(hash, _)| *hash == a.hash);
-            match self.tables.get(&a.hash) {
-                None if !bad => effects.push(Effect::Fetch(a.hash)),
-                Some((_, false)) if !bad => effects.push(Effect::Open(a.hash)),
+            match self.tables.contains_key(&a.hash) {
+                false if !bad => effects.push(Effect::Fetch(a.hash)),
+                true if !bad && !self.is_open(a) => effects.push(Effect::Open(a.fence.turn, a.hash)),
                 _ => {}
             }
         }
@@ -179,13 +177,26 @@
         effects.push(Effect::Ask(Ask { life, number, heard, answer, acknowledged }));
     }
 
+    /// What is in force, on its way, or about to be.
+    fn concerned(&self) -> impl Iterator<Item = Activation> {
+        [self.active, self.wanted, self.switch.map(|(a, _)| a)].into_iter().flatten()
+    }
+
+    /// Its table is here, and the connections of it were opened for its own turn.
+    fn is_open(&self, activation: Activation) -> bool {
+        let opened = self.tables.get(&activation.hash).and_then(|(_, turn)| *turn);
+        opened == Some(activation.fence.turn)
+    }
+
     fn answer(&self, now: Duration) -> Option<(Turn, Result<Duration, Refusal>)> {
         let wanted = self.wanted?;
         let turn = wanted.fence.turn;
         if let Some((_, refusal)) = self.refused.as_ref().filter(|(hash, _)| *hash == wanted.hash) {
             return Some((turn, Err(refusal.clone())));
         }
-        self.tables.get(&wanted.hash).filter(|(_, open)| *open)?;
+        if !self.is_open(wanted) {
+            return None;
+        }
         match self.clock.fit(now) {
             Ok(bound) => Some((turn, Ok(bound))),
             Err(_) if self.clock.samples() < FAIR_SAMPLES => None,
@@ -227,17 +238,15 @@
         }
         match reply.pending {
             Some(Pending::Prepare(next)) if next.fence.turn > self.turn() => {
-                if self.wanted.is_none_or(|w| w.fence.turn != next.fence.turn) {
-                    self.refused = None;
+                if self.want(next) {
                     self.ask_at = now;
                 }
-                self.wanted = Some(next);
             }
             Some(Pending::Commit(next, moment)) if next.fence.turn > self.turn() => {
-                self.wanted = Some(next);
+                self.want(next);
                 let here = self.clock.here(now, moment).ok().filter(|w| w.bound() <= MOST_BOUND * 2);
-                let ready = self.tables.get(&next.hash).is_some_and(|(_, open)| *open);
-                if let Some(window) = here.filter(|_| ready && self.switch.is_none()) {
+                let is_ready = self.is_open(next);
+                if let Some(window) = here.filter(|_| is_ready && self.switch.is_none()) {
                     self.switch = Some((next, window));
                 }
             }
@@ -249,6 +258,29 @@
         }
     }
 
+    /// Takes up what is on its way; true for another turn, of which nothing was refused yet.
+    fn want(&mut self, next: Activation) -> bool {
+        let before = self.wanted.replace(next);
+        let is_other = before.is_none_or(|before| before.fence.turn != next.fence.turn);
+        if is_other {
+            self.refused = None;
+        }
+        is_other
+    }
+
+    /// What came of connections that were opened for another turn says nothing of those of this one.
+    fn opened(&mut self, turn: Turn, hash: Hash, opened: Result<(), SocketAddr>) {
+        if !self.concerned().any(|a| (a.fence.turn, a.hash) == (turn, hash)) {
+            return;
+        }
+        match opened {
+            Ok(()) => {
+                self.tables.entry(hash).and_modify(|(_, opened)| *opened = Some(turn));
+            }
+            Err(address) => self.refused = Some((hash, Refusal::Connect { address })),
+        }
+    }
+
     fn adopt(&mut self, next: Activation, effects: &mut Vec<Effect>) {
         // What was refused before is tried again: without the table in force nothing is served.
         (self.active, self.wanted, self.refused) = (Some(next), None, None);
@@ -262,8 +294,9 @@
         let checked = Table::parse(document).and_then(|t| t.check(&self.known).map(|()| t));
         let refusal = match checked {
             Ok(table) if table.hash() == hash => {
-                if self.tables.insert(hash, (table, false)).is_none() {
-                    effects.push(Effect::Open(hash));
+                if self.tables.insert(hash, (table, None)).is_none() {
+                    let wanted = self.concerned().filter(|a| a.hash == hash);
+                    effects.extend(wanted.map(|a| Effect::Open(a.fence.turn, hash)).last());
                 }
                 return;
             }
