Tell an order what it came to though it was sent again before it was applied

An order whose answer was lost or late is sent again under its name, and the leader tells what it came to. Where the first one was still on its way into the log (a slow disk: the member asks again after 2 s) the second was put in too, and was refused for the first: the operator was told that the version 'of anna at m2' is on its way, or that nothing is to be aborted, though the own order was carried out.

Cause: what an order came to was looked up before it goes into the log, and not after it was refused there.

Why it works: no two orders have one name, and a refused entry changes nothing. So what the state says of that name as the entry is refused came of the same order.

--- a/src/fleet/driver/voter.rs
+++ b/src/fleet/driver/voter.rs
@@ -343,7 +343,9 @@
                 if let Ok(applied) = &done {
                     applied_own(self, &entry, applied);
                 }
-                Response::Submitted(done)
+                // It may be refused for itself: it was sent again before it was applied the first time.
+                let before = || self.deciding(voter, |at, _| earlier(at.state, &entry));
+                Response::Submitted(done.or_else(|refused| before().ok_or(refused)))
             }
             Ok(Err(_)) => self.not_leader(voter),
             Err(_) => Response::Busy,
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -6,12 +6,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use hopwalk::fleet::decided::Refused;
+use hopwalk::fleet::decided::{self, Refused};
 use hopwalk::fleet::driver::{Driver, Options};
 use hopwalk::fleet::experiment::counts::Kind;
-use hopwalk::fleet::routes::record::RecordError;
+use hopwalk::fleet::routes::record::{Applied, Entry, RecordError};
 use hopwalk::fleet::routes::table::Known;
 use hopwalk::fleet::routing::{Call, Order, OrderError, Routed, Way};
+use hopwalk::fleet::wire::{Client, Local, Request, Response};
 use hopwalk::lab::ports::ReservedPort;
 use hopwalk::lab::stand_in::wait_until;
 use serde_json::Value;
@@ -201,6 +202,28 @@
     assert!(fleet.drivers.iter().all(|d| turn(d) == Some(0)));
 }
 
+#[test]
+fn an_order_that_comes_again_before_it_is_applied_is_told_what_it_came_to() {
+    // Guards against an operator who is told that the own order, sent again by the member, stands in its way.
+    let fleet = Fleet::start(1);
+    fleet.wait("a lease", |d| turn(d) == Some(0));
+    fleet.order(0, Order::Propose { table: fleet.table(0) }).unwrap();
+    let (name, address) = fleet.voters[0].clone();
+    let prepare = Entry::Prepare { version: 1, by: "anna at m2, number 1".into() };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let answers = runtime.block_on(async {
+        let client = Client::start(Local::new("test", "m2"), &name, address, None);
+        let request = Request::Submit(decided::Entry::Routes(prepare));
+        let submit = || client.request(&request, PATIENCE);
+        // The disk is slower than the link: the second one comes while the first one is written.
+        tokio::join!(submit(), submit())
+    });
+    for answer in [answers.0, answers.1] {
+        let moved = decided::Applied::Routes(Applied::Moved(1));
+        assert!(matches!(&answer, Ok(Response::Submitted(Ok(applied))) if *applied == moved), "{answer:?}");
+    }
+}
+
 #[test]
 fn another_process_of_a_matcher_takes_the_record_over_and_no_lease_is_lost() {
     let mut fleet = Fleet::start(1);
