Have two processes write in the folder of certificates one after the other

Seen: the half of a file by reading, the lost one by the test. In an upgrade the old and the new process have one folder, and both renew. Each wrote certificate.pem.new and renamed it: two at once wrote into one file, and what one of them renamed into place was the other's, half written; the rename of the second found no file, and an issued certificate was thrown away.

Cause: the file that a name stands for at the rename was taken for the one that was written under it.

Why it works: the folder is locked (flock) from before the file is made until after the rename is synced. The system gives the lock up with the process, however that ends.

--- a/src/acme/store.rs
+++ b/src/acme/store.rs
@@ -65,6 +65,18 @@
     }
 }
 
+/// Waits until no other process holds the folder; given up when it is closed.
+fn lock(folder: &File) -> io::Result<()> {
+    loop {
+        match folder.lock() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            // Some file systems have no locks: there it is as before a second process came.
+            Err(e) if e.kind() == io::ErrorKind::Unsupported => return Ok(()),
+            done => return done,
+        }
+    }
+}
+
 /// The folder.
 pub struct Store(PathBuf);
 
@@ -76,15 +88,18 @@
         Ok(Self(path.to_path_buf()))
     }
 
-    /// Replaces a file whole: a reader, or a start after a crash, sees the old one or the new one.
+    /// Replaces a file whole: a reader, or a start after a crash, sees the old one or the new one. In an upgrade two
+    /// processes have the folder: one after the other writes in it.
     fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let folder = File::open(&self.0)?;
+        lock(&folder)?;
         let (new, path) = (self.0.join(format!("{name}.new")), self.0.join(name));
         let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&new)?;
         file.set_permissions(fs::Permissions::from_mode(0o600))?;
         file.write_all(bytes)?;
         file.sync_all()?;
         fs::rename(&new, &path)?;
-        File::open(&self.0)?.sync_all()
+        folder.sync_all()
     }
 
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -6,9 +6,11 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hopwalk::acme::Store;
 use hopwalk::lab::shim::{Dial, Shim};
 use rstest::rstest;
 
@@ -176,6 +178,29 @@
     wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
 }
 
+#[test]
+fn of_two_processes_that_store_certificates_one_is_kept_whole() {
+    // Guards against a file that is half of one and half of another: two versions keep it at once in an upgrade.
+    let (dir, writers) = (Scratch::new(), AtomicUsize::new(2));
+    let folder = dir.path("acme");
+    let pems = ["a".repeat(300_000), "b".repeat(200_000)];
+    Store::open(&folder).unwrap().keep_certificate(&pems[0]).unwrap();
+    std::thread::scope(|threads| {
+        for pem in &pems {
+            threads.spawn(|| {
+                let store = Store::open(&folder).unwrap();
+                let stored: Result<Vec<()>, _> = (0..100).map(|_| store.keep_certificate(pem)).collect();
+                writers.fetch_sub(1, Ordering::Relaxed);
+                stored.unwrap();
+            });
+        }
+        while writers.load(Ordering::Relaxed) > 0 {
+            let kept = std::fs::read_to_string(folder.join("certificate.pem")).unwrap();
+            assert!(pems.contains(&kept), "{} bytes", kept.len());
+        }
+    });
+}
+
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
     let dir = Scratch::new();
