Use a certificate that cannot be stored, and store it later

Seen: by the test. Where the folder of certificates could not be written (a full disk), a certificate that the authority had issued was thrown away, and ordered anew at each attempt, up to the authority's limit; the one in use went on to its end.

Cause: that a file could not be written was taken for an order that failed.

Why it works: an order has gone well once its certificate was read and fits; it is used at once. Storing it is tried again at the pace of acme.retry_ms until it goes well, and the console tells why it does not. A process that starts before then orders anew, as without any certificate.

--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -98,31 +98,25 @@
 }
 
 fn keep_fresh(settings: &Acme, store: &Store, client: &client::Client, shared: &Shared) {
+    // The one in use, until it is stored.
+    let mut unstored: Option<Arc<Certificate>> = None;
     loop {
+        unstored = unstored.filter(|certificate| !is_kept(store, certificate, shared));
         let due = shared.get().certificate.map(|c| renew_at(&c, &settings.domains));
         let wait = due.and_then(|at| at.duration_since(SystemTime::now()).ok()).unwrap_or_default();
         if !wait.is_zero() {
-            std::thread::sleep(wait.min(LOOK));
+            let look = if unstored.is_some() { settings.retry } else { LOOK };
+            std::thread::sleep(wait.min(look));
             continue;
         }
-        let ordered = client.order(settings, store).and_then(|pem| {
-            let certificate = Certificate::parse(&pem)?;
-            if certificate.not_after <= SystemTime::now() {
-                return Err(AcmeError::Expired);
-            }
-            if let Some(domain) = lacking(&certificate, &settings.domains) {
-                let said = format!("{domain} is not one of them: {}", certificate.names.join(" "));
-                return Err(AcmeError::Certificate { what: "the names of the certificate", said });
-            }
-            store.keep_certificate(&pem).map_err(AcmeError::Storage)?;
-            Ok(certificate)
-        });
-        match ordered {
+        match order(settings, store, client) {
             Ok(certificate) => {
                 info!("a new certificate for {}", certificate.names.join(" "));
                 let soon = renew_at(&certificate, &settings.domains) <= SystemTime::now();
+                let certificate = Arc::new(certificate);
+                unstored = Some(certificate.clone());
                 let mut state = shared.lock();
-                state.certificate = Some(Arc::new(certificate));
+                state.certificate = Some(certificate);
                 state.orders += 1;
                 (state.failures, state.last_error) = (0, None);
                 drop(state);
@@ -144,6 +138,34 @@
     }
 }
 
+/// A new certificate, if it is one that was ordered.
+fn order(settings: &Acme, store: &Store, client: &client::Client) -> Result<Certificate, AcmeError> {
+    let certificate = Certificate::parse(&client.order(settings, store)?)?;
+    if certificate.not_after <= SystemTime::now() {
+        return Err(AcmeError::Expired);
+    }
+    if let Some(domain) = lacking(&certificate, &settings.domains) {
+        let said = format!("{domain} is not one of them: {}", certificate.names.join(" "));
+        return Err(AcmeError::Certificate { what: "the names of the certificate", said });
+    }
+    Ok(certificate)
+}
+
+/// Stores the certificate in use. One that cannot be stored was issued all the same, and is not to be ordered again.
+fn is_kept(store: &Store, certificate: &Certificate, shared: &Shared) -> bool {
+    let kept = store.keep_certificate(&certificate.pem).map_err(AcmeError::Storage);
+    let mut state = shared.lock();
+    match &kept {
+        Ok(()) if state.failures == 0 => state.last_error = None,
+        Ok(()) => {}
+        Err(error) => {
+            warn!("the certificate in use is not stored: {}", told::in_a_line(error));
+            state.last_error = Some(error.to_string());
+        }
+    }
+    kept.is_ok()
+}
+
 /// A name that is wanted, and that the certificate is not for.
 fn lacking<'a>(certificate: &Certificate, domains: &'a [String]) -> Option<&'a String> {
     // Names of hosts are the same in capitals.
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -201,6 +201,28 @@
     });
 }
 
+#[test]
+fn a_certificate_that_cannot_be_stored_is_used_and_not_ordered_again() {
+    // Guards against orders up to the authority's limit while a disk is full, and no certificate in use.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let rules = Rules { fail_challenges: true, life: MONTHS, ..Rules::default() };
+    let authority = Authority::start(challenges, rules);
+    let appliance = Appliance::start_on(&acme(authority.address, challenges, &store), Some(shim()));
+    // The account is made and stored.
+    wait_for("a failure", || appliance.says("certificate", "failures") != "0");
+    let disk_fails = |rate| appliance.program.faults().set(Dial::Disk, rate).unwrap();
+    disk_fails(1000);
+    authority.rules.lock().unwrap().fail_challenges = false;
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+    let orders = authority.orders();
+    wait_for("the storage's failure", || appliance.says("certificate", "last_error").starts_with("storage"));
+    assert_eq!(authority.orders(), orders);
+    disk_fails(0);
+    wait_for("the stored one", || store.join("certificate.pem").exists());
+    assert_eq!((authority.orders(), appliance.says("certificate", "orders").as_str()), (orders, "1"));
+}
+
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
     let dir = Scratch::new();
