Take from a leader only its newest word on what experiment runs

Seen: by the test, with a leader that answers two asks in the other order. A member drops a reply to an ask before the newest answered one, but took what came with it: which experiment runs. 'None', said before the start and heard after it, ended the counting; the next answer began it anew, with the same life and its counters at zero, which the leader's merge keeps at the greater value, so that what is counted meanwhile is lost.

Cause: of two answers in one term the one that came last was taken for the newer one.

By reading, the present leader answers asks in their order and one link keeps it, so that no real fleet was seen to do this.

Why it works: the term and the number of the answered ask are compared together; numbers grow in a life.

--- a/src/fleet/driver/part.rs
+++ b/src/fleet/driver/part.rs
@@ -370,19 +370,20 @@
         let ask = gated(ask, self.may());
         if let Some(Response::Reply { reply, running }) = self.to_leader(&Request::Ask(ask), PATIENCE).await {
             self.metrics.replies.inc();
-            let term = reply.term;
+            let told = (reply.term, reply.number);
             self.step(Input::Reply(*reply));
-            self.follow(term, running.map(|running| *running));
+            self.follow(told, running.map(|running| *running));
         }
     }
 
-    /// Takes up which experiment runs. A leader of an earlier term may not know, so it is not heard.
-    fn follow(&self, term: u64, running: Option<Running>) {
+    /// Takes up which experiment runs, as a leader of this term told in its answer to the ask of this number. One of an
+    /// earlier term, or asked earlier, may not know, so it is not heard.
+    fn follow(&self, told: (u64, u64), running: Option<Running>) {
         let mut held = self.routing.held();
-        if term < held.term {
+        if told < held.told {
             return;
         }
-        held.term = term;
+        held.told = told;
         let Some(Running { experiment, closed, members }) = running else { return held.counter = None };
         if held.counter.as_ref().is_none_or(|counter| *counter.experiment() != experiment) {
             let life = held.member.life();
--- a/src/fleet/routing.rs
+++ b/src/fleet/routing.rs
@@ -162,8 +162,8 @@
     pub member: Member,
     /// What this life counts of the experiment that runs, as a leader told last.
     pub counter: Option<Counter>,
-    /// The term of that leader.
-    pub term: u64,
+    /// The term of that leader, and the number of the ask that it answered.
+    pub told: (u64, u64),
     spread: u64,
 }
 
@@ -247,7 +247,7 @@
     /// Of a member, for the driver that steps it; orders come out at the other end.
     pub(super) fn new(member: Member, clock: Clock, metrics: Metrics) -> (Self, mpsc::Receiver<Asked>) {
         let (orders, asked) = mpsc::channel(MOST_ORDERS);
-        let held = Held { member, counter: None, term: 0, spread: 0 };
+        let held = Held { member, counter: None, told: (0, 0), spread: 0 };
         (Self(Arc::new(Shared { clock, held: Mutex::new(held), orders, metrics })), asked)
     }
 
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -9,10 +9,13 @@
 use hopwalk::fleet::decided::{self, Refused};
 use hopwalk::fleet::driver::{Driver, Options};
 use hopwalk::fleet::experiment::counts::Kind;
+use hopwalk::fleet::experiment::Experiment;
 use hopwalk::fleet::routes::record::{Applied, Entry, RecordError};
 use hopwalk::fleet::routes::table::Known;
+use hopwalk::fleet::routes::{Ask, Reply};
 use hopwalk::fleet::routing::{Call, Order, OrderError, Routed, Way};
-use hopwalk::fleet::wire::{Client, Local, Request, Response};
+use hopwalk::fleet::wire::message::Running;
+use hopwalk::fleet::wire::{Answering, Caller, Client, Local, Request, Response, Server};
 use hopwalk::lab::ports::ReservedPort;
 use hopwalk::lab::stand_in::wait_until;
 use serde_json::Value;
@@ -224,6 +227,61 @@
     }
 }
 
+#[test]
+fn what_a_leader_said_of_experiments_before_its_newest_word_is_not_taken() {
+    // Guards against counts of an experiment that are begun anew, or dropped, by an answer that came late.
+    let port = ReservedPort::any().unwrap();
+    let (voters, keeps, fault) = (vec![("m1".to_string(), port.address())], None, None);
+    let known = Known { classes: ["seat".to_string()].into(), tenants: [].into() };
+    let (name, fleet) = ("m2".into(), "test".to_string());
+    let options = Options { name, fleet: fleet.clone(), voters, keeps, known, fault };
+    let document = r#"{"name":"e","salt":[1,2],"arms":[{"name":"old","share":0.5},{"name":"new","share":0.5}],
+        "alpha":0.05,"harm_alpha":0.01,"split_alpha":0.001,"harm_margin":0.5,"start_ms":1,"block_ms":200,
+        "longest_ms":20000,"grace_ms":1000,"least_blocks":10}"#;
+    let experiment: Experiment = serde_json::from_str(document).unwrap();
+    let running = Running { experiment, closed: 0, members: ["m2".to_string()].into() };
+    // Which ask came first, how many reports came, and whether the first ask was answered.
+    let (first, reports, late) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
+    let said = std::sync::Arc::new((first, reports, late));
+    let heard = said.clone();
+    let answer = move |ask: Ask, running| {
+        let (time, lease) = (Duration::from_secs(1), Duration::ZERO);
+        let reply = Reply { number: ask.number, term: 1, time, lease, active: None, pending: None };
+        Response::Reply { reply: Box::new(reply), running }
+    };
+    let handler = move |_: std::sync::Arc<Caller>, request: Request| -> Answering {
+        let (said, running) = (said.clone(), running.clone());
+        Box::pin(async move {
+            let (first, reports, late) = &*said;
+            match request {
+                Request::Ask(ask) if first.swap(1, Ordering::SeqCst) == 0 => {
+                    // Nothing ran yet as it was asked; it waits until the experiment is known by a later answer.
+                    while reports.load(Ordering::SeqCst) == 0 {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                    late.store(1, Ordering::SeqCst);
+                    answer(ask, None)
+                }
+                Request::Ask(ask) if late.load(Ordering::SeqCst) == 0 => answer(ask, Some(Box::new(running))),
+                Request::Counts(_) => {
+                    reports.fetch_add(1, Ordering::SeqCst);
+                    Response::Counted(true)
+                }
+                _ => Response::Busy,
+            }
+        })
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let server = runtime.block_on(Server::start(port.address(), Local::new(&*fleet, "m1"), handler)).unwrap();
+    let driver = Driver::start(options).unwrap();
+    let reports = || heard.1.load(Ordering::SeqCst);
+    assert!(wait_until(PATIENCE, || heard.2.load(Ordering::SeqCst) == 1), "the first ask is answered");
+    let before = reports();
+    assert!(wait_until(PATIENCE, || reports() >= before + 3), "it counts on");
+    driver.leave();
+    drop(server);
+}
+
 #[test]
 fn another_process_of_a_matcher_takes_the_record_over_and_no_lease_is_lost() {
     let mut fleet = Fleet::start(1);
