Look at the clock every 5 s for renewals

Seen: by the test. The thread that renews waits until the moment at which a certificate is due by the wall clock, and looked again after an hour at most. A certificate that lives for hours could expire meanwhile, as the clock was stepped forward: one of 90 min, stepped by 62 min, was not renewed within 10 s; by reading, not within the hour, when it would have expired.

Cause: a moment of the wall clock was turned into a span once an hour.

With this change it passes.

Why it works: the span from one look to the next is 5 s of real time, so that a step is noticed within that, whatever a certificate's life.

--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -24,8 +24,8 @@
 const RENEW_PART: u32 = 3;
 /// The longest wait between two attempts.
 const MOST_BACKOFF: Duration = Duration::from_secs(6 * 3600);
-/// The time until the next look at the certificate at hand; the clock may have been set meanwhile.
-const LOOK: Duration = Duration::from_secs(3600);
+/// The time until the next look at the clock, which may have been set meanwhile. Certificates may live for hours only.
+const LOOK: Duration = Duration::from_secs(5);
 
 /// What is known about the certificate.
 #[derive(Clone, Debug, Default)]
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -223,6 +223,19 @@
     assert_eq!((authority.orders(), appliance.says("certificate", "orders").as_str()), (orders, "1"));
 }
 
+#[rstest]
+#[case::forward(Duration::from_secs(90 * 60), 3700)]
+fn a_certificate_is_renewed_in_time_though_the_clock_is_stepped(#[case] life: Duration, #[case] by_s: i64) {
+    // Guards against a certificate that expires while nobody looks: a wait by the clock before the step.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let authority = Authority::start(challenges, Rules { life, ..Rules::default() });
+    let appliance = Appliance::start_on(&acme(authority.address, challenges, &store), Some(shim()));
+    wait_for("a certificate", || appliance.says("certificate", "orders") == "1");
+    appliance.program.faults().set(Dial::WallOffsetUs, by_s * 1_000_000).unwrap();
+    wait_for("its renewal", || authority.orders() >= 2);
+}
+
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
     let dir = Scratch::new();
