Renew a certificate once its span has passed though the clock was set back

Seen: by the test. When a certificate is due was a moment of the wall clock alone. Where the clock was set back after the start, by an hour or more, a certificate of a short life went on past its end: the thread waited for a moment that the clock would show an hour late.

Cause: how much of a certificate's life has passed is a span, and was read from a clock that can be stepped.

Why it works: the span until then is noted with the monotonic clock as the certificate is taken up, and whichever ends first counts: the span after a step back, the moment after a step forward or a suspension of the machine.

--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -11,7 +11,7 @@
 pub mod wire;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use tracing::{info, warn};
 
@@ -100,10 +100,10 @@
 fn keep_fresh(settings: &Acme, store: &Store, client: &client::Client, shared: &Shared) {
     // The one in use, until it is stored.
     let mut unstored: Option<Arc<Certificate>> = None;
+    let mut due = shared.get().certificate.map(|certificate| Due::of(&certificate, &settings.domains));
     loop {
         unstored = unstored.filter(|certificate| !is_kept(store, certificate, shared));
-        let due = shared.get().certificate.map(|c| renew_at(&c, &settings.domains));
-        let wait = due.and_then(|at| at.duration_since(SystemTime::now()).ok()).unwrap_or_default();
+        let wait = due.as_ref().map_or(Duration::ZERO, Due::wait);
         if !wait.is_zero() {
             let look = if unstored.is_some() { settings.retry } else { LOOK };
             std::thread::sleep(wait.min(look));
@@ -112,7 +112,9 @@
         match order(settings, store, client) {
             Ok(certificate) => {
                 info!("a new certificate for {}", certificate.names.join(" "));
-                let soon = renew_at(&certificate, &settings.domains) <= SystemTime::now();
+                let renewal = Due::of(&certificate, &settings.domains);
+                let soon = renewal.wait().is_zero();
+                due = Some(renewal);
                 let certificate = Arc::new(certificate);
                 unstored = Some(certificate.clone());
                 let mut state = shared.lock();
@@ -181,6 +183,30 @@
     certificate.not_after - life / RENEW_PART
 }
 
+/// When the certificate in use is to be renewed: at a moment of the wall clock, or once the span until then has really
+/// passed, where the clock is set back meanwhile. The first of the two counts.
+struct Due {
+    at: SystemTime,
+    since: Instant,
+    span: Duration,
+}
+
+impl Due {
+    fn of(certificate: &Certificate, domains: &[String]) -> Self {
+        let at = renew_at(certificate, domains);
+        Self { at, since: Instant::now(), span: until(at) }
+    }
+
+    fn wait(&self) -> Duration {
+        until(self.at).min(self.span.saturating_sub(self.since.elapsed()))
+    }
+}
+
+/// From now to a moment of the wall clock; zero if that is past.
+fn until(at: SystemTime) -> Duration {
+    at.duration_since(SystemTime::now()).unwrap_or_default()
+}
+
 /// The wait after so many failures in a row: doubled each time, up to a limit.
 fn backoff(first: Duration, failures: u32) -> Duration {
     let doubled = first.saturating_mul(1 << failures.saturating_sub(1).min(20));
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -225,6 +225,7 @@
 
 #[rstest]
 #[case::forward(Duration::from_secs(90 * 60), 3700)]
+#[case::back(Duration::from_secs(6), -3600)]
 fn a_certificate_is_renewed_in_time_though_the_clock_is_stepped(#[case] life: Duration, #[case] by_s: i64) {
     // Guards against a certificate that expires while nobody looks: a wait by the clock before the step.
     let (challenges, dir) = (gone(), Scratch::new());
