--- a/src/acme/mod.rs
+++ b/src/acme/mod.rs
@@ -11,7 +11,7 @@
 pub mod wire;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use tracing::{info, warn};
 
@@ -24,8 +24,8 @@
 const RENEW_PART: u32 = 3;
 /// The longest wait between two attempts.
 const MOST_BACKOFF: Duration = Duration::from_secs(6 * 3600);
-/// The time until the next look at the certificate at hand; the clock may have been set meanwhile.
-const LOOK: Duration = Duration::from_secs(3600);
+/// The time until the next look at the clock, which may have been set meanwhile. Certificates may live for hours only.
+const LOOK: Duration = Duration::from_secs(5);
 
 /// What is known about the certificate.
 #[derive(Clone, Debug, Default)]
@@ -98,27 +98,27 @@
 }
 
 fn keep_fresh(settings: &Acme, store: &Store, client: &client::Client, shared: &Shared) {
+    // The one in use, until it is stored.
+    let mut unstored: Option<Arc<Certificate>> = None;
+    let mut due = shared.get().certificate.map(|certificate| Due::of(&certificate, &settings.domains));
     loop {
-        let due = shared.get().certificate.map(|c| renew_at(&c, &settings.domains));
-        let wait = due.and_then(|at| at.duration_since(SystemTime::now()).ok()).unwrap_or_default();
+        unstored = unstored.filter(|certificate| !is_kept(store, certificate, shared));
+        let wait = due.as_ref().map_or(Duration::ZERO, Due::wait);
         if !wait.is_zero() {
-            std::thread::sleep(wait.min(LOOK));
+            let look = if unstored.is_some() { settings.retry } else { LOOK };
+            std::thread::sleep(wait.min(look));
             continue;
         }
-        let ordered = client.order(settings, store).and_then(|pem| {
-            let certificate = Certificate::parse(&pem)?;
-            if certificate.not_after <= SystemTime::now() {
-                return Err(AcmeError::Expired);
-            }
-            store.keep_certificate(&pem).map_err(AcmeError::Storage)?;
-            Ok(certificate)
-        });
-        match ordered {
+        match order(settings, store, client) {
             Ok(certificate) => {
                 info!("a new certificate for {}", certificate.names.join(" "));
-                let soon = renew_at(&certificate, &settings.domains) <= SystemTime::now();
+                let renewal = Due::of(&certificate, &settings.domains);
+                let soon = renewal.wait().is_zero();
+                due = Some(renewal);
+                let certificate = Arc::new(certificate);
+                unstored = Some(certificate.clone());
                 let mut state = shared.lock();
-                state.certificate = Some(Arc::new(certificate));
+                state.certificate = Some(certificate);
                 state.orders += 1;
                 (state.failures, state.last_error) = (0, None);
                 drop(state);
@@ -140,15 +140,73 @@
     }
 }
 
+/// A new certificate, if it is one that was ordered.
+fn order(settings: &Acme, store: &Store, client: &client::Client) -> Result<Certificate, AcmeError> {
+    let certificate = Certificate::parse(&client.order(settings, store)?)?;
+    if certificate.not_after <= SystemTime::now() {
+        return Err(AcmeError::Expired);
+    }
+    if let Some(domain) = lacking(&certificate, &settings.domains) {
+        let said = format!("{domain} is not one of them: {}", certificate.names.join(" "));
+        return Err(AcmeError::Certificate { what: "the names of the certificate", said });
+    }
+    Ok(certificate)
+}
+
+/// Stores the certificate in use. One that cannot be stored was issued all the same, and is not to be ordered again.
+fn is_kept(store: &Store, certificate: &Certificate, shared: &Shared) -> bool {
+    let kept = store.keep_certificate(&certificate.pem).map_err(AcmeError::Storage);
+    let mut state = shared.lock();
+    match &kept {
+        Ok(()) if state.failures == 0 => state.last_error = None,
+        Ok(()) => {}
+        Err(error) => {
+            warn!("the certificate in use is not stored: {}", told::in_a_line(error));
+            state.last_error = Some(error.to_string());
+        }
+    }
+    kept.is_ok()
+}
+
+/// A name that is wanted, and that the certificate is not for.
+fn lacking<'a>(certificate: &Certificate, domains: &'a [String]) -> Option<&'a String> {
+    // Names of hosts are the same in capitals.
+    domains.iter().find(|domain| !certificate.names.iter().any(|name| name.eq_ignore_ascii_case(domain)))
+}
+
 /// When a certificate is to be renewed; at once if it is for other names than are wanted.
 fn renew_at(certificate: &Certificate, domains: &[String]) -> SystemTime {
-    if domains.iter().any(|domain| !certificate.names.contains(domain)) {
+    if lacking(certificate, domains).is_some() {
         return SystemTime::UNIX_EPOCH;
     }
     let life = certificate.not_after.duration_since(certificate.not_before).unwrap_or_default();
     certificate.not_after - life / RENEW_PART
 }
 
+/// When the certificate in use is to be renewed: at a moment of the wall clock, or once the span until then has really
+/// passed, where the clock is set back meanwhile. The first of the two counts.
+struct Due {
+    at: SystemTime,
+    since: Instant,
+    span: Duration,
+}
+
+impl Due {
+    fn of(certificate: &Certificate, domains: &[String]) -> Self {
+        let at = renew_at(certificate, domains);
+        Self { at, since: Instant::now(), span: until(at) }
+    }
+
+    fn wait(&self) -> Duration {
+        until(self.at).min(self.span.saturating_sub(self.since.elapsed()))
+    }
+}
+
+/// From now to a moment of the wall clock; zero if that is past.
+fn until(at: SystemTime) -> Duration {
+    at.duration_since(SystemTime::now()).unwrap_or_default()
+}
+
 /// The wait after so many failures in a row: doubled each time, up to a limit.
 fn backoff(first: Duration, failures: u32) -> Duration {
     let doubled = first.saturating_mul(1 << failures.saturating_sub(1).min(20));
--- a/tests/program/appliance.rs
+++ b/tests/program/appliance.rs
@@ -6,10 +6,13 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hopwalk::acme::Store;
 use hopwalk::lab::shim::{Dial, Shim};
+use rstest::rstest;
 
 use super::authority::{Authority, Rules};
 use super::clock::shim;
@@ -157,6 +160,83 @@
     assert_eq!(appliance.says("certificate", "failures"), "0");
 }
 
+#[rstest]
+#[case::key(Rules { other_key: true, life: MONTHS, ..Rules::default() })]
+#[case::name(Rules { other_name: Some("bar.example"), life: MONTHS, ..Rules::default() })]
+fn a_certificate_of_another_order_is_not_taken(#[case] rules: Rules) {
+    // Guards against a certificate that no caller can use in place of one that works: it was of an earlier order.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let authority = Authority::start(challenges, rules);
+    let appliance = Appliance::start(&acme(authority.address, challenges, &store));
+    wait_for("the end of an order", || {
+        ["orders", "failures"].iter().any(|what| appliance.says("certificate", what) != "0")
+    });
+    assert_eq!(appliance.says("certificate", "certificate"), "none");
+    assert!(!store.join("certificate.pem").exists());
+    *authority.rules.lock().unwrap() = Rules { life: MONTHS, ..Rules::default() };
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+}
+
+#[test]
+fn of_two_processes_that_store_certificates_one_is_kept_whole() {
+    // Guards against a file that is half of one and half of another: two versions keep it at once in an upgrade.
+    let (dir, writers) = (Scratch::new(), AtomicUsize::new(2));
+    let folder = dir.path("acme");
+    let pems = ["a".repeat(300_000), "b".repeat(200_000)];
+    Store::open(&folder).unwrap().keep_certificate(&pems[0]).unwrap();
+    std::thread::scope(|threads| {
+        for pem in &pems {
+            threads.spawn(|| {
+                let store = Store::open(&folder).unwrap();
+                let stored: Result<Vec<()>, _> = (0..100).map(|_| store.keep_certificate(pem)).collect();
+                writers.fetch_sub(1, Ordering::Relaxed);
+                stored.unwrap();
+            });
+        }
+        while writers.load(Ordering::Relaxed) > 0 {
+            let kept = std::fs::read_to_string(folder.join("certificate.pem")).unwrap();
+            assert!(pems.contains(&kept), "{} bytes", kept.len());
+        }
+    });
+}
+
+#[test]
+fn a_certificate_that_cannot_be_stored_is_used_and_not_ordered_again() {
+    // Guards against orders up to the authority's limit while a disk is full, and no certificate in use.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let rules = Rules { fail_challenges: true, life: MONTHS, ..Rules::default() };
+    let authority = Authority::start(challenges, rules);
+    let appliance = Appliance::start_on(&acme(authority.address, challenges, &store), Some(shim()));
+    // The account is made and stored.
+    wait_for("a failure", || appliance.says("certificate", "failures") != "0");
+    let disk_fails = |rate| appliance.program.faults().set(Dial::Disk, rate).unwrap();
+    disk_fails(1000);
+    authority.rules.lock().unwrap().fail_challenges = false;
+    wait_for("a certificate", || appliance.says("certificate", "certificate") == "valid");
+    let orders = authority.orders();
+    wait_for("the storage's failure", || appliance.says("certificate", "last_error").starts_with("storage"));
+    assert_eq!(authority.orders(), orders);
+    disk_fails(0);
+    wait_for("the stored one", || store.join("certificate.pem").exists());
+    assert_eq!((authority.orders(), appliance.says("certificate", "orders").as_str()), (orders, "1"));
+}
+
+#[rstest]
+#[case::forward(Duration::from_secs(90 * 60), 3700)]
+#[case::back(Duration::from_secs(6), -3600)]
+fn a_certificate_is_renewed_in_time_though_the_clock_is_stepped(#[case] life: Duration, #[case] by_s: i64) {
+    // Guards against a certificate that expires while nobody looks: a wait by the clock before the step.
+    let (challenges, dir) = (gone(), Scratch::new());
+    let store = dir.path("acme");
+    let authority = Authority::start(challenges, Rules { life, ..Rules::default() });
+    let appliance = Appliance::start_on(&acme(authority.address, challenges, &store), Some(shim()));
+    wait_for("a certificate", || appliance.says("certificate", "orders") == "1");
+    appliance.program.faults().set(Dial::WallOffsetUs, by_s * 1_000_000).unwrap();
+    wait_for("its renewal", || authority.orders() >= 2);
+}
+
 #[test]
 fn an_authority_that_is_down_disturbs_nothing() {
     let dir = Scratch::new();
--- a/tests/program/authority.rs
+++ b/tests/program/authority.rs
@@ -22,6 +22,10 @@
     pub bad_nonces: u32,
     /// Challenges are failed whatever is found.
     pub fail_challenges: bool,
+    /// Certificates are of another key than was asked for: as of an earlier order.
+    pub other_key: bool,
+    /// Certificates are of this name, whatever was asked for.
+    pub other_name: Option<&'static str>,
     pub life: Duration,
 }
 
@@ -77,7 +81,7 @@
         let (rules, known) = (authority.rules.clone(), authority.known.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let issue = |csr: &[u8], life| issue(csr, life, &root, &key);
+                let issue = |csr: &[u8], rules: &Rules| issue(csr, rules, &root, &key);
                 serve(stream, address, challenges, &rules, &known, issue);
             }
         });
@@ -89,20 +93,30 @@
     }
 }
 
-fn issue(csr: &[u8], life: Duration, root: &rcgen::Certificate, key: &rcgen::KeyPair) -> String {
+fn issue(csr: &[u8], rules: &Rules, root: &rcgen::Certificate, key: &rcgen::KeyPair) -> String {
     let mut csr = rcgen::CertificateSigningRequestParams::from_der(&csr.to_vec().into()).unwrap();
+    if let Some(name) = rules.other_name {
+        csr.params.subject_alt_names = vec![rcgen::SanType::DnsName(name.try_into().unwrap())];
+    }
     csr.params.not_before = SystemTime::now().into();
-    csr.params.not_after = (SystemTime::now() + life).into();
+    csr.params.not_after = (SystemTime::now() + rules.life).into();
     csr.signed_by(root, key).unwrap().pem() + &root.pem()
 }
 
+/// A request for a certificate, of a key that nobody has.
+fn request(names: &[String]) -> Vec<u8> {
+    let params = rcgen::CertificateParams::new(names.to_vec()).unwrap();
+    let key = rcgen::KeyPair::generate().unwrap();
+    params.serialize_request(&key).unwrap().der().to_vec()
+}
+
 fn serve(
     stream: TcpStream,
     address: SocketAddr,
     challenges: SocketAddr,
     rules: &Mutex<Rules>,
     known: &Mutex<Known>,
-    issue: impl Fn(&[u8], Duration) -> String,
+    issue: impl Fn(&[u8], &Rules) -> String,
 ) {
     let (mut reads, mut writes) = (BufReader::new(stream.try_clone().unwrap()), stream);
     let (mut head, mut len) = (String::new(), 0);
@@ -182,7 +196,7 @@
     challenges: SocketAddr,
     rules: &Rules,
     known: &mut Known,
-    issue: impl Fn(&[u8], Duration) -> String,
+    issue: impl Fn(&[u8], &Rules) -> String,
 ) -> Reply {
     let order = |known: &Known| {
         let status = match (&known.issued, known.authorized) {
@@ -231,8 +245,9 @@
             Reply(200, vec![], r#"{"status":"processing"}"#.to_string())
         }
         "/finalize" => {
-            let csr = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
-            known.issued = Some(issue(&csr, rules.life));
+            let asked = BASE64URL.decode(text(&object(payload), "csr")).unwrap();
+            let csr = if rules.other_key { request(&known.names) } else { asked };
+            known.issued = Some(issue(&csr, rules));
             Reply(200, vec![], order(known))
         }
         "/cert" => Reply(200, vec![], known.issued.clone().unwrap()),
