Give the lab agents that end their links, a faulty vault and busy processes, and count every reply and launch that came again

A deliver to a run that waited for nothing was dropped silently, and a launch written twice was counted only once its run was over: both are faults now (`reply_again`, `reply_late`, `again`). Some seeds of the soak have agents that end their links by themselves, a vault whose replies come late, twice, out of order and over other connections, and busy processes; the faults come of draws of their own, so that all else of a seed stays as it was. The stand-ins are split by job.

--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,6 +2,7 @@
 //! of everything, a checker of the four rules and a report. It starts real processes of this program; the
 //! program's own parts never use it.
 
+mod busy;
 pub mod check;
 pub mod check_routes;
 mod connections;
@@ -29,4 +30,6 @@
 pub mod site;
 pub mod stall;
 pub mod stand_in;
+pub mod stand_in_faults;
 pub mod sweep;
+mod timeline;
--- a/src/lab/routes/mod.rs
+++ b/src/lab/routes/mod.rs
@@ -36,6 +36,7 @@
 use super::shim::Shim;
 use super::site::SiteOptions;
 use super::stand_in::{Agent, Control, Deadlines};
+use super::stand_in_faults::StandInFaults;
 use super::{check, check_routes, run, stall};
 use crate::told;
 
@@ -248,7 +249,7 @@
     fn agent(&self, name: &str) -> Agent {
         let work = Duration::from_millis(self.setup.work_ms);
         let (history, by) = (self.history.clone(), format!("agent-{name}"));
-        Agent::recorded(6, work, 1, history, &by, self.deadlines.clone())
+        Agent::recorded(6, work, 1, history, &by, self.deadlines.clone(), None)
     }
 
     /// Takes the switches out of a matcher's log.
@@ -278,6 +279,7 @@
             matchers: self.setup.matchers,
             cores: 6,
             work_ms: self.setup.work_ms,
+            stand_ins: StandInFaults::default(),
             load: self.setup.load.clone(),
             faults: Vec::new(),
             direct: false,
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::{door, status};
 
+use super::busy::Busy;
 use super::check::{check, Verdict};
 use super::datagram::{DatagramFaults, PeerNet};
 use super::echo;
@@ -26,7 +27,8 @@
 use super::shim::{Dial, Shim};
 use super::site::SiteOptions;
 use super::stall;
-use super::stand_in::{vault, Agent, Control, Deadlines};
+use super::stand_in::faulty_vault::faulty_vault;
+use super::stand_in::{vault, Agent, Control, Deadlines, Lifetimes};
 
 /// Members that all members are told of at their start.
 const SEEDS: usize = 2;
@@ -116,7 +118,7 @@
     let path = options.folder.join("history.jsonl");
     let history = Recorder::create(&path)?;
     let control = Control::start().map_err(listen_error("the control plane"))?;
-    let vault = vault();
+    let sound_vault = vault();
     let mut links: HashMap<String, Link> = HashMap::new();
     let mut matchers = Vec::new();
     let work = Duration::from_millis(scenario.work_ms);
@@ -131,7 +133,15 @@
         let name = format!("m{i}");
         let seed = scenario.seed.wrapping_add(i as u64);
         let by = format!("agent-{name}");
-        let agent = Agent::recorded(scenario.cores, work, CALLS, history.clone(), &by, deadlines.clone());
+        let lifetimes = scenario.stand_ins.link_ms.map(Duration::from_millis);
+        let lifetimes = lifetimes.map(|most| Lifetimes { most, seed });
+        let (cores, over) = (scenario.cores, deadlines.clone());
+        let agent = Agent::recorded(cores, work, CALLS, history.clone(), &by, over, lifetimes);
+        let vault = match scenario.stand_ins.has_faulty_vault {
+            true => faulty_vault(seed, history.clone(), &format!("vault-{name}")),
+            false => Ok(sound_vault),
+        };
+        let vault = vault.map_err(listen_error("the vault"))?;
         let to_agent = Link::start(&format!("{name}-agent"), agent.address, seed, Some(history.clone()));
         let to_vault = Link::start(&format!("{name}-vault"), vault, seed ^ 1, Some(history.clone()));
         let to_agent = to_agent.map_err(listen_error("the agent's link"))?;
@@ -181,6 +191,8 @@
     ));
     let processes = matchers.iter().map(|m| (m.name.clone(), m.process.clone())).collect();
     run_delay::watch(&history, processes, &watching);
+    let busy = Busy::start(scenario.stand_ins.busy);
+    let busy = busy.map_err(|source| LabError::Program { path: "sh".into(), source })?;
     let stop = Arc::new(AtomicBool::new(false));
     let clocks = Arc::new(Clocks::default());
     let began = Instant::now();
@@ -231,6 +243,7 @@
     }
     stop.store(true, Ordering::Relaxed);
     let tally: Arc<Tally> = loader.join().map_err(|_| LabError::Load)?;
+    drop(busy);
     // Lift every fault and wake every process, so that what was read can be answered before the drain.
     for (name, link) in &links {
         if link.faults() != Faults::default() {
--- a/src/lab/stand_in.rs
+++ b/src/lab/stand_in/agent.rs
@@ -1,47 +1,26 @@
-//! Stand-ins for what a matcher talks to, speaking the platform's protocol: the agent that runs the work, the
-//! vault that answers calls below, and the control plane that takes reports. Moved here from the tests, which
-//! now use them from the lab. Input that a fault spoilt ends a link; it never ends the stand-in.
+//! The agent that runs the work, on the platform's protocol. What it is told that it must not be told goes to the history.
 
 use std::collections::{HashMap, HashSet};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 use tinyjson::JsonValue;
 
-use super::history::{Event, Recorder};
-use super::ports::ReservedPort;
+use super::body::LabBody;
+use super::deadlines::Deadlines;
+use super::deliveries::{AtReply, Deliveries};
+use super::lifetimes::Lifetimes;
+use super::{wait_until, PATIENCE};
+use crate::lab::history::{Event, Recorder};
 
 /// The address of an agent that does not listen yet.
 const NOT_BOUND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-/// How long [`wait_for`] waits.
-pub const PATIENCE: Duration = Duration::from_secs(10);
-
-/// Waits for a condition; fails the test with `what` if it does not come.
-pub fn wait_for(what: &str, there: impl FnMut() -> bool) {
-    assert!(wait_until(PATIENCE, there), "{what} did not come");
-}
-
-/// Waits for a condition at most `most`; says whether it came.
-pub fn wait_until(most: Duration, mut there: impl FnMut() -> bool) -> bool {
-    let since = Instant::now();
-    while !there() {
-        if since.elapsed() >= most {
-            return false;
-        }
-        thread::sleep(Duration::from_millis(2));
-    }
-    true
-}
-
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
 
 fn text<'a>(json: &'a HashMap<String, JsonValue>, key: &str) -> &'a str {
     json.get(key).and_then(|v| v.get::<String>()).map_or("", String::as_str)
@@ -55,6 +34,7 @@
     replies: HashMap<String, Vec<u8>>,
     /// Runs that wait for a call: the notice that asks for it, and its body.
     at_calls: HashMap<String, (u64, Vec<u8>)>,
+    deliveries: Deliveries,
     /// Runs that are over.
     ended: HashSet<String>,
     notices: Vec<String>,
@@ -63,6 +43,32 @@
     link_number: u64,
 }
 
+impl Told {
+    /// What is wrong with a reply that came for a run, which is noted.
+    fn wrong_with_reply(&mut self, handle: &str, reply: &[u8]) -> Option<String> {
+        let is_launched = self.launches.iter().any(|(launched, ..)| launched == handle);
+        let run = match self.at_calls.get(handle) {
+            Some((notice, body)) => AtReply::Waiting { notice: *notice, body },
+            None if is_launched && !self.ended.contains(handle) => AtReply::Running,
+            None => AtReply::Over,
+        };
+        self.deliveries.note(handle, run, reply, self.link_number, self.notices.len())
+    }
+}
+
+/// Ends a link after its lifetime.
+fn end_after(stream: &TcpStream, lifetime: Duration) {
+    if lifetime.is_zero() {
+        let _ = stream.shutdown(Shutdown::Both);
+        return;
+    }
+    let Ok(stream) = stream.try_clone() else { return };
+    thread::spawn(move || {
+        thread::sleep(lifetime);
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+}
+
 /// A stand-in for the agent: `cores` runs at a time, each of the length of `work`.
 #[derive(Clone)]
 pub struct Agent {
@@ -75,31 +81,8 @@
     deadlines: Option<Deadlines>,
     /// Calls that a run makes, one after the other.
     calls: usize,
-}
-
-/// When each request of the lab is over, by its id (which is the handle of its launch): the load tool writes,
-/// the agents read. Bounded: entries long past are dropped as new ones come.
-#[derive(Clone, Default)]
-pub struct Deadlines(Arc<Mutex<HashMap<String, Instant>>>);
-
-/// Deadlines kept at most.
-pub const MOST_DEADLINES: usize = 200_000;
-
-impl Deadlines {
-    pub fn insert(&self, id: &str, over: Instant) {
-        let mut all = self.0.lock().unwrap();
-        if all.len() >= MOST_DEADLINES {
-            let now = Instant::now();
-            all.retain(|_, at| *at + Duration::from_secs(60) > now);
-        }
-        if all.len() < MOST_DEADLINES {
-            all.insert(id.to_string(), over);
-        }
-    }
-
-    fn lock(&self) -> std::sync::LockResult<std::sync::MutexGuard<'_, HashMap<String, Instant>>> {
-        self.0.lock()
-    }
+    /// How long each link lives, where the agent ends its links by itself.
+    lifetimes: Option<Lifetimes>,
 }
 
 impl Agent {
@@ -115,6 +98,7 @@
             history: None,
             deadlines: None,
             calls: usize::from(calls),
+            lifetimes: None,
         };
         Self::serve(agent, work_queue, work)
     }
@@ -122,7 +106,8 @@
     /// The same, recording each run it begins as `by` in `history`: the lab's load tool writes `lab id KEY` at the
     /// head of each body, which names the request and its key.
     /// Each run makes so many calls, and works before each and after the last. What it is told that it must not be told is
-    /// recorded as changed. Runs at a call end when `deadlines` says that their request is over.
+    /// recorded as changed. Runs at a call end when `deadlines` says that their request is over. With `lifetimes` it ends its
+    /// links by itself.
     pub fn recorded(
         cores: usize,
         work: Duration,
@@ -130,12 +115,13 @@
         history: Recorder,
         by: &str,
         deadlines: Deadlines,
+        lifetimes: Option<Lifetimes>,
     ) -> Self {
         let (queue, work_queue) = mpsc::channel::<(String, Vec<u8>)>();
         let (told, busy) = (Arc::default(), Arc::default());
         let (history, deadlines) = (Some((history, Arc::from(by))), Some(deadlines));
         Self::serve(
-            Self { address: NOT_BOUND, told, busy, queue, cores, history, deadlines, calls },
+            Self { address: NOT_BOUND, told, busy, queue, cores, history, deadlines, calls, lifetimes },
             work_queue,
             work,
         )
@@ -214,12 +200,13 @@
         if let Some(at_call) = self.told.lock().unwrap().at_calls.get_mut(handle) {
             at_call.0 = cursor;
         }
-        let over = self.deadlines.as_ref().and_then(|d| d.lock().unwrap().get(handle).copied());
+        let over = self.deadlines.as_ref().and_then(|d| d.of(handle));
         let most = over.map_or(PATIENCE, |at| at.saturating_duration_since(Instant::now()));
         let came = wait_until(most, || self.told.lock().unwrap().replies.contains_key(handle));
         let mut told = self.told.lock().unwrap();
         told.at_calls.remove(handle);
         if !came && over.is_some() {
+            told.ended.insert(handle.to_string());
             return None;
         }
         Some(told.replies.remove(handle).unwrap_or_default())
@@ -267,14 +254,14 @@
                     told.link = Some(link);
                     told.link_number += 1;
                     number = Some(told.link_number);
+                    if let Some(lifetimes) = &self.lifetimes {
+                        end_after(&stream, lifetimes.of(told.link_number));
+                    }
                 }
-                // As the protocol has it, a launch of what runs already does nothing; it keeps no results, and what ended
-                // would run again.
+                // A launch of what runs already does nothing, but this agent keeps no results: what ended meanwhile would run
+                // again, so that what must run once is never launched twice.
                 "launch" if told.launches.iter().any(|(h, ..)| *h == handle) => {
-                    let must_run_once = LabBody::parse(&arg).is_some_and(|body| body.must_run_once());
-                    if told.ended.contains(&handle) && must_run_once {
-                        self.record_change(&handle, "again");
-                    }
+                    self.check_repeated_launch(&handle, &arg);
                 }
                 "launch" => {
                     self.check_launch(&handle, text(json, "entry"), &arg);
@@ -283,11 +270,11 @@
                     let _ = self.queue.send((handle, arg));
                 }
                 "deliver" => {
-                    let waits = told.at_calls.remove(&handle);
-                    if let Some((_, body)) = &waits {
-                        if self.history.is_some() && arg != [b"reply:", &body[..]].concat() {
-                            self.record_change(&handle, "reply");
-                        }
+                    if self.history.is_some() {
+                        let wrong = told.wrong_with_reply(&handle, &arg);
+                        wrong.iter().for_each(|what| self.record_change(&handle, what));
+                    }
+                    if told.at_calls.remove(&handle).is_some() {
                         told.replies.insert(handle, arg);
                     }
                 }
@@ -313,6 +300,13 @@
         }
     }
 
+    /// What must run once is launched once.
+    fn check_repeated_launch(&self, handle: &str, arg: &[u8]) {
+        if LabBody::parse(arg).is_some_and(|body| body.must_run_once()) {
+            self.record_change(handle, "again");
+        }
+    }
+
     /// A launch is that of the request which its handle names.
     fn check_launch(&self, handle: &str, entry: &str, arg: &[u8]) {
         if self.history.is_none() {
@@ -360,136 +354,3 @@
         link.shutdown(Shutdown::Both).unwrap();
     }
 }
-
-/// What the load tool writes into the body of a request: `lab ID KEY CLASS`, the key empty where there is none, and `once`
-/// behind it where it runs at most once without a key.
-struct LabBody<'a> {
-    id: &'a str,
-    key: &'a str,
-    class: Option<&'a str>,
-    is_once: bool,
-}
-
-impl<'a> LabBody<'a> {
-    fn must_run_once(&self) -> bool {
-        self.is_once || !self.key.is_empty()
-    }
-
-    fn parse(arg: &'a [u8]) -> Option<Self> {
-        let mut words = std::str::from_utf8(arg).ok()?.split(' ');
-        (words.next() == Some("lab")).then_some(())?;
-        Some(Self {
-            id: words.next()?,
-            key: words.next().unwrap_or_default(),
-            class: words.next(),
-            is_once: words.next() == Some("once"),
-        })
-    }
-}
-
-/// A stand-in for the vault: answers each call with `reply:` and its body.
-pub fn vault() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            thread::spawn(move || {
-                let Ok(reads) = stream.try_clone() else { return };
-                let (mut reads, mut writes) = (BufReader::new(reads), stream);
-                let mut line = String::new();
-                while reads.read_line(&mut line).unwrap_or(0) > 0 {
-                    let words: Vec<_> = line.trim_end().split(' ').collect();
-                    if let ["ask", handle, _, len] = words[..] {
-                        let Some(len) = len.parse::<usize>().ok().filter(|n| *n <= 1 << 20) else { return };
-                        let mut body = vec![0; len + 2];
-                        if reads.read_exact(&mut body).is_err() {
-                            return;
-                        }
-                        let reply = [b"reply:", &body[..body.len() - 2]].concat();
-                        let head = format!("{handle} yes {}\r\n", reply.len());
-                        if writes.write_all(&[head.as_bytes(), &reply, b"\r\n"].concat()).is_err() {
-                            return;
-                        }
-                    }
-                    line.clear();
-                }
-            });
-        }
-    });
-    address
-}
-
-/// A vault that answers the call with the body `bad` by noise, and others well once there was such a one: behind
-/// a reply that is nobody's, and with a second copy.
-pub fn spoiling_vault() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let spoilt = Arc::new(AtomicUsize::new(0));
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let spoilt = spoilt.clone();
-            thread::spawn(move || {
-                let mut reads = BufReader::new(stream.try_clone().unwrap());
-                let (mut writes, mut line) = (stream, String::new());
-                while reads.read_line(&mut line).is_ok_and(|n| n > 0) {
-                    let words: Vec<_> = line.split_whitespace().map(str::to_string).collect();
-                    let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
-                    reads.read_exact(&mut body).unwrap();
-                    body.truncate(body.len() - 2);
-                    if body == b"bad" {
-                        spoilt.fetch_add(1, Ordering::Relaxed);
-                        let _ = writes.write_all(b"\xff\xfe?\r\n");
-                    } else {
-                        wait_for("a spoilt reply", || spoilt.load(Ordering::Relaxed) > 0);
-                        let len = body.len() + 6;
-                        let head = format!("{} yes {len}\r\nreply:", words[1]);
-                        let reply = [head.as_bytes(), &body, b"\r\n"];
-                        let stray = b"00000000000000ff yes 2\r\nno\r\n".to_vec();
-                        writes.write_all(&[stray, reply.concat(), reply.concat()].concat()).unwrap();
-                    }
-                    line.clear();
-                }
-            });
-        }
-    });
-    address
-}
-
-/// A vault that reads a call and breaks the connection.
-pub fn broken_vault() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let _ = BufReader::new(stream).read_line(&mut String::new());
-        }
-    });
-    address
-}
-
-/// An address where nobody listens, and nobody but who is told of it will.
-pub fn gone() -> SocketAddr {
-    let port = ReservedPort::any().expect("a port");
-    let address = port.address();
-    // Reserved for as long as this process lives: the system would give it to another listener.
-    std::mem::forget(port);
-    address
-}
-
-/// A stand-in for the control plane: takes the reports of being alive, and drops them.
-#[derive(Clone)]
-pub struct Control {
-    pub address: SocketAddr,
-}
-
-impl Control {
-    pub fn start() -> std::io::Result<Self> {
-        let socket = UdpSocket::bind("127.0.0.1:0")?;
-        let control = Self { address: socket.local_addr()? };
-        thread::spawn(move || {
-            let mut bytes = [0; 512];
-            while socket.recv(&mut bytes).is_ok() {}
-        });
-        Ok(control)
-    }
-}
--- /dev/null
+++ b/src/lab/stand_in/deliveries.rs
@@ -0,0 +1,65 @@
+//! The replies that runs were given, and what is wrong with one: each belongs to the call that it was made for, and to no other.
+
+use std::collections::HashMap;
+
+/// Bytes of a reply or call that a fault shows.
+const SHOWN: usize = 120;
+
+/// A run as its agent has it when a reply comes.
+#[derive(Clone, Copy, Debug)]
+pub enum AtReply<'a> {
+    /// It waits for the call that this notice asked for, with this body.
+    Waiting { notice: u64, body: &'a [u8] },
+    /// It goes on, and waits for nothing.
+    Running,
+    /// It is over, or was never launched.
+    Over,
+}
+
+/// A reply that came.
+#[derive(Debug)]
+struct Delivery {
+    reply: Vec<u8>,
+    /// Over which link, and behind how many notices.
+    link: u64,
+    notices: usize,
+}
+
+/// All replies, by the handle of their run.
+#[derive(Debug, Default)]
+pub struct Deliveries(HashMap<String, Vec<Delivery>>);
+
+impl Deliveries {
+    /// Notes a reply; says what is wrong with it, beginning with the kind of the fault.
+    pub fn note(
+        &mut self,
+        handle: &str,
+        run: AtReply,
+        reply: &[u8],
+        link: u64,
+        notices: usize,
+    ) -> Option<String> {
+        let earlier = self.0.entry(handle.into()).or_default();
+        let came_before = earlier.iter().any(|d| d.reply == reply);
+        earlier.push(Delivery { reply: reply.to_vec(), link, notices });
+        let kind = match run {
+            AtReply::Waiting { body, .. } if reply == [b"reply:", body].concat() => return None,
+            AtReply::Waiting { .. } => "reply",
+            AtReply::Running | AtReply::Over if came_before => "reply_again",
+            AtReply::Running => "reply_late",
+            // Its request was over before the reply came.
+            AtReply::Over => return None,
+        };
+        let call = match run {
+            AtReply::Waiting { notice, body } => format!("notice {notice} [{}]", shown(body)),
+            AtReply::Running | AtReply::Over => "none".into(),
+        };
+        let delivers: Vec<_> =
+            earlier.iter().map(|d| format!("link {} behind notice {}", d.link, d.notices)).collect();
+        Some(format!("{kind} got=[{}] call={call} delivers=[{}]", shown(reply), delivers.join("; ")))
+    }
+}
+
+fn shown(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(&bytes[..bytes.len().min(SHOWN)]).into_owned()
+}
--- /dev/null
+++ b/src/lab/stand_in_faults.rs
@@ -0,0 +1,30 @@
+//! What a scenario asks of the stand-ins, and of the machine, beside the faults of the net.
+
+use super::busy::MOST_BUSY;
+use super::scenario::{number, Object};
+use super::scenario_error::ScenarioError;
+
+/// The longest lifetime of a link that can be asked for, in milliseconds.
+const MOST_LINK_MS: f64 = 60_000.0;
+
+/// Faults of the stand-ins; by default there are none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StandInFaults {
+    /// The longest lifetime of a link, in milliseconds, where the agents end their links by themselves.
+    pub link_ms: Option<u64>,
+    /// The vault's replies come late, twice, out of order and over other connections.
+    pub has_faulty_vault: bool,
+    /// Processes of the lab that keep processors busy.
+    pub busy: usize,
+}
+
+impl StandInFaults {
+    pub(super) fn parse(top: &Object, agent: &Object) -> Result<Self, ScenarioError> {
+        let link_ms = agent.get("link_ms").map(|_| number(agent, "link_ms", "agent.", None)).transpose()?;
+        Ok(Self {
+            link_ms: link_ms.map(|ms| ms.clamp(2.0, MOST_LINK_MS) as u64),
+            has_faulty_vault: matches!(top.get("faulty_vault"), Some(tinyjson::JsonValue::Boolean(true))),
+            busy: (number(top, "busy", "", Some(0.0))? as usize).min(MOST_BUSY),
+        })
+    }
+}
--- a/src/lab/sweep.rs
+++ b/src/lab/sweep.rs
@@ -30,6 +30,14 @@
     r#""TERM","USR1","INT","TERM""#,
     r#""HUP","TERM","HUP","TERM","HUP""#,
 ];
+/// So many seeds of the soak in a row have the same faults of the stand-ins: none, the agents', the vault's, or both.
+pub const SOAK_KIND_SEEDS: u64 = 16;
+/// The longest lifetimes of links that agents end by themselves, in milliseconds.
+const SOAK_LINK_MS: [u64; 4] = [30, 80, 200, 450];
+/// Cores of those agents, so that many runs are at their calls when a link ends.
+const SOAK_LINK_CORES: u64 = 32;
+/// Busy processes beside the matchers of one scenario of the soak, at most.
+const SOAK_MOST_BUSY: u64 = 4;
 /// Length of a scenario's load in seconds; faults lie within it.
 const SECONDS: f64 = 4.0;
 
@@ -78,7 +86,7 @@
 /// The soak's scenario of a seed: links to the agents that break several times a second, many faults that overlap, of the
 /// network, of the system and of the clock, and each matcher stopped by the platform while all that goes on: with signals
 /// in series, the kill at the earliest, callers that use their open connections up to it, and requests of every effect that
-/// fall due behind it; some seeds have a crowd.
+/// fall due behind it; some seeds have a crowd, and some agents that end their links by themselves and vaults that answer late.
 pub fn soak_scenario(seed: u64) -> String {
     let mut random = Random::new(seed ^ 0x50a4);
     let mut whole = move |below: u64| random.next_u64() % below;
@@ -108,12 +116,33 @@
         }
         _ => String::new(),
     };
+    let (agent, stand_ins) = soak_stand_ins(seed);
     format!(
-        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,"agent":{{"cores":6,"work_ms":{work_ms}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
+        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,{stand_ins}"agent":{{{agent},"work_ms":{work_ms}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
         faults.join(",")
     )
 }
 
+/// The faults of a seed's stand-ins: what its agents have of them, and what stands beside. They have draws of their own, so
+/// that the rest of the scenario is the same with them and without.
+fn soak_stand_ins(seed: u64) -> (String, String) {
+    let mut random = Random::new(seed ^ 0xe90c);
+    let mut whole = move |below: u64| random.next_u64() % below;
+    let kind = seed / SOAK_KIND_SEEDS % 4;
+    let (has_links, has_vault) = (kind & 1 == 1, kind & 2 == 2);
+    let link_ms = SOAK_LINK_MS[whole(SOAK_LINK_MS.len() as u64) as usize];
+    let busy = 1 + whole(SOAK_MOST_BUSY);
+    let agent = match has_links {
+        true => format!(r#""cores":{SOAK_LINK_CORES},"link_ms":{link_ms}"#),
+        false => r#""cores":6"#.into(),
+    };
+    let beside = match kind {
+        0 => String::new(),
+        _ => format!(r#""faulty_vault":{has_vault},"busy":{busy},"#),
+    };
+    (agent, beside)
+}
+
 /// A stop of a matcher within the load, and its start after it.
 fn soak_stop(matcher: u64, kill_ms: u64, whole: &mut impl FnMut(u64) -> u64) -> String {
     let latest = (SOAK_SECONDS * 1_000.0) as u64 - kill_ms - SOAK_STOP_TAIL_MS;
@@ -172,6 +201,11 @@
     pub fn clean(&self) -> bool {
         self.verdict.as_ref().is_ok_and(Verdict::clean)
     }
+
+    /// There is a verdict, and no request was served.
+    pub fn made_no_progress(&self) -> bool {
+        self.verdict.as_ref().is_ok_and(|verdict| !verdict.statuses.contains_key(&200))
+    }
 }
 
 /// Plays `count` scenarios from seed `first` on, `at_once` at a time. `told` hears of each; the folders of clean ones
--- a/src/main.rs
+++ b/src/main.rs
@@ -295,6 +295,10 @@
         }
     });
     bar.finish_and_clear();
+    let idle: Vec<_> = all.iter().filter(|s| s.made_no_progress()).map(|s| s.seed.to_string()).collect();
+    if !idle.is_empty() {
+        println!("no request was served with seeds {}", idle.join(" "));
+    }
     let (mut sent, mut counts) = (0, std::collections::BTreeMap::<&str, u64>::new());
     for verdict in all.iter().filter_map(|s| s.verdict.as_ref().ok()) {
         sent += verdict.sent;
--- a/tests/lab_agent.rs
+++ b/tests/lab_agent.rs
@@ -70,7 +70,7 @@
     let recorder = Recorder::create(&file).unwrap();
     let deadlines = Deadlines::default();
     deadlines.insert("h", Instant::now() + PATIENCE);
-    let agent = Agent::recorded(1, WORK, 2, recorder.clone(), "a1", deadlines);
+    let agent = Agent::recorded(1, WORK, 2, recorder.clone(), "a1", deadlines, None);
     let mut replaced = Link::open(agent.address, 0);
     replaced.say_about("launch", "h", "lab h  seat");
     assert!(replaced.wait_for("request").contains(r#""cursor":1"#));
