--- a/src/lab/stand_in_faults.rs
+++ b/src/lab/stand_in_faults.rs
@@ -1,6 +1,6 @@
 //! What a scenario asks of the stand-ins, and of the machine, beside the faults of the net.
 
-use super::busy::MOST_BUSY;
+pub use super::busy::MOST_BUSY;
 use super::scenario::{number, Object};
 use super::scenario_error::ScenarioError;
 
--- a/src/lab/sweep.rs
+++ b/src/lab/sweep.rs
@@ -33,7 +33,10 @@
 /// So many seeds of the soak in a row have the same faults of the stand-ins: none, the agents', the vault's, or both.
 pub const SOAK_KIND_SEEDS: u64 = 16;
 /// The longest lifetimes of links that agents end by themselves, in milliseconds.
-const SOAK_LINK_MS: [u64; 4] = [30, 80, 200, 450];
+const SOAK_LINK_MS: [u64; 4] = [12, 30, 80, 450];
+/// Pauses of each matcher whose agent does so, and the longest, in milliseconds: what waited meanwhile comes at once.
+const SOAK_PAUSES: u64 = 3;
+const SOAK_PAUSE_MS: u64 = 300;
 /// Cores of those agents, so that many runs are at their calls when a link ends.
 const SOAK_LINK_CORES: u64 = 32;
 /// Busy processes beside the matchers of one scenario of the soak, at most.
@@ -116,7 +119,8 @@
         }
         _ => String::new(),
     };
-    let (agent, stand_ins) = soak_stand_ins(seed);
+    let (agent, stand_ins, pauses) = soak_stand_ins(seed);
+    faults.extend(pauses);
     format!(
         r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,{stand_ins}"agent":{{{agent},"work_ms":{work_ms}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
         faults.join(",")
@@ -125,7 +129,7 @@
 
 /// The faults of a seed's stand-ins: what its agents have of them, and what stands beside. They have draws of their own, so
 /// that the rest of the scenario is the same with them and without.
-fn soak_stand_ins(seed: u64) -> (String, String) {
+fn soak_stand_ins(seed: u64) -> (String, String, Vec<String>) {
     let mut random = Random::new(seed ^ 0xe90c);
     let mut whole = move |below: u64| random.next_u64() % below;
     let kind = seed / SOAK_KIND_SEEDS % 4;
@@ -140,7 +144,13 @@
         0 => String::new(),
         _ => format!(r#""faulty_vault":{has_vault},"busy":{busy},"#),
     };
-    (agent, beside)
+    let pauses = if has_links { SOAK_MATCHERS * SOAK_PAUSES } else { 0 };
+    let pauses = (0..pauses).map(|n| {
+        let (m, at) = (1 + n % SOAK_MATCHERS, 0.5 + whole(70) as f64 / 10.0);
+        let last = (50 + whole(SOAK_PAUSE_MS - 50)) as f64 / 1_000.0;
+        format!(r#"{{"kind":"pause","at_s":{at:.1},"for_s":{last:.3},"target":"m{m}"}}"#)
+    });
+    (agent, beside, pauses.collect())
 }
 
 /// A stop of a matcher within the load, and its start after it.
--- a/tests/lab_agent.rs
+++ b/tests/lab_agent.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 use hopwalk::lab::history::{self, Event, Recorder};
-use hopwalk::lab::stand_in::{Agent, Deadlines};
+use hopwalk::lab::stand_in::{Agent, Deadlines, Lifetimes};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 const WORK: Duration = Duration::from_millis(2);
@@ -51,6 +51,17 @@
         }
     }
 
+    /// Waits until the agent has read all that was said.
+    fn until_read(&mut self) {
+        self.say(r#"{"event":"sample","ticket":"read"}"#);
+        self.wait_for("sampled");
+    }
+
+    /// Waits until the agent has ended the link by itself.
+    fn until_ended(mut self) {
+        self.lines.read_to_end(&mut Vec::new()).unwrap();
+    }
+
     /// Says nothing more, and waits until the agent has read all that was said and ended the link.
     fn end(mut self) {
         self.writes.shutdown(Shutdown::Write).unwrap();
@@ -62,6 +73,47 @@
     std::env::temp_dir().join(format!("hopwalk-{name}-{}", std::process::id()))
 }
 
+/// An agent that records what it is told that it must not be told.
+struct Recording {
+    file: PathBuf,
+    recorder: Recorder,
+    agent: Agent,
+}
+
+impl Recording {
+    /// Runs make so many calls; requests of the handles `h` and `k` are not over for a while.
+    fn start(name: &str, calls: usize, lifetimes: Option<Lifetimes>) -> Self {
+        Self::working(name, WORK, calls, lifetimes)
+    }
+
+    fn working(name: &str, work: Duration, calls: usize, lifetimes: Option<Lifetimes>) -> Self {
+        let file = history_file(name);
+        let recorder = Recorder::create(&file).unwrap();
+        let deadlines = Deadlines::default();
+        ["h", "k"].iter().for_each(|handle| deadlines.insert(handle, Instant::now() + PATIENCE));
+        let agent = Agent::recorded(2, work, calls, recorder.clone(), "a1", deadlines, lifetimes);
+        Self { file, recorder, agent }
+    }
+
+    /// What was recorded as changed: the handle, and the kind of the fault.
+    fn changed(self) -> Vec<(String, String)> {
+        self.recorder.finish();
+        let (records, bad) = history::read(&self.file).unwrap();
+        std::fs::remove_file(&self.file).unwrap();
+        assert!(bad.is_empty(), "{bad:?}");
+        let changed = records.into_iter().filter_map(|record| match record.event {
+            Event::Changed { handle, what, .. } => Some((handle, what)),
+            _ => None,
+        });
+        let kind = |what: String| what.split(' ').next().unwrap_or_default().to_string();
+        changed.map(|(handle, what)| (handle, kind(what))).collect()
+    }
+}
+
+fn faults(of: &[(&str, &str)]) -> Vec<(String, String)> {
+    of.iter().map(|(handle, kind)| (handle.to_string(), kind.to_string())).collect()
+}
+
 #[test]
 fn a_command_that_is_read_late_on_a_replaced_link_is_not_taken_up() {
     // A matcher whose reply was in doubt skips its call on the next link; the reply, read after that, would be taken for
@@ -91,3 +143,90 @@
     assert_eq!((records.iter().find(changed), bad), (None, Vec::new()));
     assert!(outcome.contains(&made), "{outcome}");
 }
+
+#[test]
+fn a_second_reply_to_one_call_is_a_fault_also_where_the_run_waits_for_nothing() {
+    let recording = Recording::start("again", 1, None);
+    let mut link = Link::open(recording.agent.address, 0);
+    link.say_about("launch", "h", "lab h  seat");
+    link.wait_for("request");
+    link.say_about("deliver", "h", "reply:lab h  seat");
+    link.wait_for("outcome");
+    link.say_about("deliver", "h", "reply:lab h  seat");
+    link.until_read();
+    assert_eq!(recording.changed(), faults(&[("h", "reply_again")]));
+}
+
+#[test]
+fn the_reply_to_one_call_given_to_the_next_is_a_fault() {
+    let recording = Recording::start("next", 2, None);
+    let mut link = Link::open(recording.agent.address, 0);
+    link.say_about("launch", "h", "lab h  seat");
+    link.wait_for("request");
+    link.say_about("deliver", "h", "reply:lab h  seat");
+    link.wait_for("request");
+    link.say_about("deliver", "h", "reply:lab h  seat");
+    link.until_read();
+    assert_eq!(recording.changed(), faults(&[("h", "reply")]));
+}
+
+#[test]
+fn the_reply_to_a_call_that_was_skipped_is_a_fault_and_one_to_a_run_that_is_over_is_none() {
+    // Between its two calls the run works for a while, so that it is at neither when the reply is read.
+    let recording = Recording::working("skipped", Duration::from_millis(400), 2, None);
+    let mut link = Link::open(recording.agent.address, 0);
+    link.say_about("launch", "h", "lab h  seat");
+    let asked = link.wait_for("request");
+    assert!(asked.contains(r#""cursor":1"#), "{asked}");
+    let (skip, reply) =
+        (r#"{"event":"forgo","handle":"h","cursor":1,"arg":""}"#, BASE64.encode("reply:lab h  seat"));
+    link.say(&format!("{skip}\n{{\"event\":\"deliver\",\"handle\":\"h\",\"arg\":\"{reply}\"}}"));
+    link.wait_for("request");
+    link.say_about("deliver", "h", "reply:lab h  seat call 1");
+    link.wait_for("outcome");
+    link.until_read();
+    assert_eq!(recording.changed(), faults(&[("h", "reply_late")]));
+
+    let over = Recording::start("over", 1, None);
+    let mut link = Link::open(over.agent.address, 0);
+    link.say_about("launch", "k", "lab k  seat");
+    link.wait_for("request");
+    link.say(r#"{"event":"forgo","handle":"k","cursor":1,"arg":""}"#);
+    link.wait_for("outcome");
+    link.say_about("deliver", "k", "reply:lab k  seat");
+    link.until_read();
+    assert_eq!(over.changed(), faults(&[]));
+}
+
+#[test]
+fn what_must_run_once_and_is_launched_twice_is_a_fault_also_while_it_runs() {
+    let recording = Recording::start("launches", 1, None);
+    let mut link = Link::open(recording.agent.address, 0);
+    for (handle, body) in [("h", "lab h  seat once"), ("k", "lab k  seat")] {
+        link.say_about("launch", handle, body);
+        link.wait_for("request");
+        link.say_about("launch", handle, body);
+    }
+    link.until_read();
+    // A read may be launched as often as its matcher likes.
+    assert_eq!(recording.changed(), faults(&[("h", "again")]));
+}
+
+#[test]
+fn an_agent_ends_links_right_after_their_greeting_several_in_a_row_and_some_live_long() {
+    let most = Duration::from_millis(450);
+    let lifetimes = Lifetimes { most, seed: 7 };
+    let all: Vec<_> = (1..2_000).map(|number| lifetimes.of(number)).collect();
+    assert!(all.iter().all(|lifetime| *lifetime <= most));
+    assert!(all.windows(4).any(|four| four.iter().all(Duration::is_zero)));
+    assert!(all.iter().any(|lifetime| (1..=4).contains(&lifetime.as_millis())));
+    assert!(all.iter().filter(|lifetime| **lifetime > most / 2).count() > 200);
+
+    let recording = Recording::start("lifetimes", 1, Some(lifetimes));
+    for cursor in 0..30 {
+        let link = Link::open(recording.agent.address, cursor);
+        link.until_ended();
+    }
+    assert_eq!(recording.agent.subscribed(), (0..30).collect::<Vec<_>>());
+    assert_eq!(recording.changed(), faults(&[]));
+}
--- a/tests/lab_sweep.rs
+++ b/tests/lab_sweep.rs
@@ -1,7 +1,7 @@
 //! The scenarios that the sweeps draw from seeds.
 
 use hopwalk::lab::scenario::{FaultKind, Scenario};
-use hopwalk::lab::sweep::{scenario, soak_scenario};
+use hopwalk::lab::sweep::{scenario, soak_scenario, SOAK_KIND_SEEDS};
 
 #[test]
 fn a_seed_always_draws_the_same_and_every_seed_reads() {
@@ -42,3 +42,20 @@
     }
     assert!(due_behind_the_kill > 100 && crowds > 50 && series.len() >= 6, "{crowds}, {series:?}");
 }
+
+#[test]
+fn of_every_four_kinds_of_seeds_of_the_soak_two_have_links_that_agents_end_and_two_a_faulty_vault() {
+    let mut longest = std::collections::HashSet::new();
+    for seed in 0..8 * SOAK_KIND_SEEDS {
+        let read = Scenario::parse(&soak_scenario(seed)).unwrap().stand_ins;
+        let kind = seed / SOAK_KIND_SEEDS % 4;
+        assert_eq!(
+            (read.link_ms.is_some(), read.has_faulty_vault),
+            (kind % 2 == 1, kind >= 2),
+            "seed {seed}"
+        );
+        assert_eq!(read.busy > 0, kind != 0, "seed {seed}");
+        longest.extend(read.link_ms);
+    }
+    assert!(longest.len() >= 4 && longest.contains(&450), "{longest:?}");
+}
