--- a/src/lab/check.rs
+++ b/src/lab/check.rs
@@ -16,7 +16,8 @@
 //!   The same where the load tool's own probe took as long meanwhile, where the tool brought a request late by as much, and
 //!   where its net did not hand it on.
 //! - `not_taken`, apart as well: the request never reached its matcher, and nothing of it ran.
-//! - `changed`: a class, a body or a reply reached an agent changed, or a run that must not be repeated was launched again.
+//! - `changed`: a class, a body or a reply reached an agent changed or a second time, or what must not be repeated was launched,
+//!   or called for, again.
 //! - `double`: more than one final answer.
 //! - `late`: the answer came after the due time and the slack.
 //! - `run_twice`: one request, or one key, was started by more than one run. A key whose runs lie on both sides of a
--- a/src/lab/history.rs
+++ b/src/lab/history.rs
@@ -8,8 +8,10 @@
 //!   the request's last bytes to the matcher) and `came_ms` (the net had read the answer's last bytes from it);
 //! - `gone`: `id`, `why` (the connection ended or the caller stopped waiting, with no answer);
 //! - `run`: `id`, `key`, `by` (the agent that started it), `handle`;
-//! - `changed`: `by` (the agent that was told so), `handle`, `what` (`class` or `body`: a launch is not that of its request;
-//!   `reply`: a run got the reply to another call; `again`: a run that must not be repeated was launched after its end);
+//! - `changed`: `by` (the agent that was told so, or the vault), `handle`, `what` (it begins with the kind: `class` or `body`: a
+//!   launch is not that of its request; `reply`: a run got the reply to another call; `reply_again`, `reply_late`: a run that
+//!   waits for nothing got a second reply to a call, or one to a call that it skipped; `again`: what must run once was launched
+//!   twice; `call_again`: a call of what must run once was made again after it ran);
 //! - `not_taken`: `id`, `why` (the request never reached the matcher: its connection was refused, or crossed a close of the
 //!   matcher's within the time in which gateways send it again; where it is sent again, that is a try with an id of its own);
 //! - `brought`: `id`, `at_ms` (the load tool, or its net, wrote the request's last bytes to the matcher only then: 20 ms or
--- a/src/lab/sweep.rs
+++ b/src/lab/sweep.rs
@@ -33,12 +33,15 @@
 /// So many seeds of the soak in a row have the same faults of the stand-ins: none, the agents', the vault's, or both.
 pub const SOAK_KIND_SEEDS: u64 = 16;
 /// The longest lifetimes of links that agents end by themselves, in milliseconds.
-const SOAK_LINK_MS: [u64; 4] = [12, 30, 80, 450];
+const SOAK_LINK_MS: [u64; 6] = [6, 10, 15, 30, 80, 450];
 /// Pauses of each matcher whose agent does so, and the longest, in milliseconds: what waited meanwhile comes at once.
 const SOAK_PAUSES: u64 = 3;
 const SOAK_PAUSE_MS: u64 = 300;
-/// Cores of those agents, so that many runs are at their calls when a link ends.
-const SOAK_LINK_CORES: u64 = 32;
+/// Cores of those agents and the part of the work that a run is there, so that many runs are at their calls when a link ends.
+const SOAK_LINK_CORES: u64 = 64;
+const SOAK_LINK_WORK: u64 = 10;
+/// The crowd of those seeds.
+const SOAK_LINK_CROWD: &str = r#""burst":{"at_s":1.5,"for_s":6.0,"times":6},"#;
 /// Busy processes beside the matchers of one scenario of the soak, at most.
 const SOAK_MOST_BUSY: u64 = 4;
 /// Length of a scenario's load in seconds; faults lie within it.
@@ -112,24 +115,25 @@
     for _ in 0..SOAK_MATCHERS + whole(2 * SOAK_MATCHERS) {
         faults.push(soak_fault(&mut whole));
     }
+    let (agent, stand_ins, pauses) = soak_stand_ins(seed, work_ms);
+    faults.extend(pauses);
     let burst = match whole(3) {
+        _ if agent.contains("link_ms") => SOAK_LINK_CROWD.into(),
         0 => {
             let (at, times) = (1.0 + whole(50) as f64 / 10.0, 3 + whole(6));
             format!(r#""burst":{{"at_s":{at:.1},"for_s":2.0,"times":{times}}},"#)
         }
         _ => String::new(),
     };
-    let (agent, stand_ins, pauses) = soak_stand_ins(seed);
-    faults.extend(pauses);
     format!(
-        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,{stand_ins}"agent":{{{agent},"work_ms":{work_ms}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
+        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,{stand_ins}"agent":{{{agent}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
         faults.join(",")
     )
 }
 
-/// The faults of a seed's stand-ins: what its agents have of them, and what stands beside. They have draws of their own, so
-/// that the rest of the scenario is the same with them and without.
-fn soak_stand_ins(seed: u64) -> (String, String, Vec<String>) {
+/// The faults of a seed's stand-ins: its agents, what stands beside, and the pauses of their matchers. They have draws of their
+/// own, so that seeds without them, and the other faults of those with them, stay as they were.
+fn soak_stand_ins(seed: u64, work_ms: u64) -> (String, String, Vec<String>) {
     let mut random = Random::new(seed ^ 0xe90c);
     let mut whole = move |below: u64| random.next_u64() % below;
     let kind = seed / SOAK_KIND_SEEDS % 4;
@@ -137,8 +141,11 @@
     let link_ms = SOAK_LINK_MS[whole(SOAK_LINK_MS.len() as u64) as usize];
     let busy = 1 + whole(SOAK_MOST_BUSY);
     let agent = match has_links {
-        true => format!(r#""cores":{SOAK_LINK_CORES},"link_ms":{link_ms}"#),
-        false => r#""cores":6"#.into(),
+        true => {
+            let work_ms = work_ms / SOAK_LINK_WORK + 1;
+            format!(r#""cores":{SOAK_LINK_CORES},"link_ms":{link_ms},"work_ms":{work_ms}"#)
+        }
+        false => format!(r#""cores":6,"work_ms":{work_ms}"#),
     };
     let beside = match kind {
         0 => String::new(),
--- a/tests/lab.rs
+++ b/tests/lab.rs
@@ -204,7 +204,7 @@
     // end, a vault that answers late, and both. The long form: `hopwalk lab sweep --soak --seed 16 --count 48`.
     let folder = std::env::temp_dir().join(format!("hopwalk-soak-calls-{}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_hopwalk"));
-    for first in [SOAK_KIND_SEEDS, 2 * SOAK_KIND_SEEDS, 3 * SOAK_KIND_SEEDS] {
+    for first in [9 * SOAK_KIND_SEEDS, 2 * SOAK_KIND_SEEDS, 3 * SOAK_KIND_SEEDS] {
         let _turn = turns::Turn::take();
         for mut swept in sweep(first, 2, 2, &program, &folder, soak_scenario, |_| {}) {
             for _ in 0..PLAYED_AGAIN {
