--- a/src/acme/store.rs
+++ b/src/acme/store.rs
@@ -6,8 +6,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
+use rustls::crypto::ring::default_provider;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::CertificateDer;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::sign::CertifiedKey;
 use x509_parser::extensions::GeneralName;
 
 use super::error::AcmeError;
@@ -31,13 +33,19 @@
 }
 
 impl Certificate {
-    /// Reads a key and a chain; the first certificate of the chain is the one that counts.
+    /// Reads a key and a chain; the first certificate of the chain is the one that counts, and is to be of that key.
     pub fn parse(pem: &str) -> Result<Self, AcmeError> {
         let wrong = |what, said: String| AcmeError::Certificate { what, said };
         let der = CertificateDer::from_pem_slice(pem.as_bytes());
         let der = der.map_err(|e| wrong("no certificate", e.to_string()))?;
         let x509 = x509_parser::parse_x509_certificate(&der);
         let (_, x509) = x509.map_err(|e| wrong("the certificate", e.to_string()))?;
+        let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
+        let chain = chain.map_err(|e| wrong("the chain", e.to_string()))?;
+        let key = PrivateKeyDer::from_pem_slice(pem.as_bytes());
+        let key = key.map_err(|e| wrong("no key", e.to_string()))?;
+        let fits = CertifiedKey::from_der(chain, key, &default_provider());
+        fits.map_err(|e| wrong("the key of the certificate", e.to_string()))?;
         let at = |seconds: i64| {
             SystemTime::UNIX_EPOCH + Duration::from_secs(u64::try_from(seconds).unwrap_or_default())
         };
@@ -57,6 +65,18 @@
     }
 }
 
+/// Waits until no other process holds the folder; given up when it is closed.
+fn lock(folder: &File) -> io::Result<()> {
+    loop {
+        match folder.lock() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            // Some file systems have no locks: there it is as before a second process came.
+            Err(e) if e.kind() == io::ErrorKind::Unsupported => return Ok(()),
+            done => return done,
+        }
+    }
+}
+
 /// The folder.
 pub struct Store(PathBuf);
 
@@ -68,15 +88,18 @@
         Ok(Self(path.to_path_buf()))
     }
 
-    /// Replaces a file whole: a reader, or a start after a crash, sees the old one or the new one.
+    /// Replaces a file whole: a reader, or a start after a crash, sees the old one or the new one. In an upgrade two
+    /// processes have the folder: one after the other writes in it.
     fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let folder = File::open(&self.0)?;
+        lock(&folder)?;
         let (new, path) = (self.0.join(format!("{name}.new")), self.0.join(name));
         let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&new)?;
         file.set_permissions(fs::Permissions::from_mode(0o600))?;
         file.write_all(bytes)?;
         file.sync_all()?;
         fs::rename(&new, &path)?;
-        File::open(&self.0)?.sync_all()
+        folder.sync_all()
     }
 
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -14,6 +14,10 @@
 use super::{leaving, Core, SWEEP};
 use crate::interface::{Repeat, RequestId, Settings};
 
+/// Why a new process does not get the keys at once.
+const LACKS_KEYS: &str =
+    "a new process waits for the keys: the one before it may have run some that are not known here, for their window";
+
 /// What a reducer knows of the other process.
 #[derive(Default)]
 pub(super) struct Partner {
@@ -31,6 +35,8 @@
     pub(super) halves: bool,
     /// The new process went away: tries that came up to then may repeat what it ran, and nobody here knows of.
     barred_until: Duration,
+    /// The next new process asked for the keys while some are missing here that the one before ran.
+    is_awaited: bool,
 }
 
 impl Partner {
@@ -71,20 +77,23 @@
                 self.effects.push(Effect::Alone);
             }
             Succession::Begin => {
-                self.partner.yields = true;
-                self.halve_calls(true);
-                self.effects.push(Effect::HandOver { keys: self.keys.all(), standby: self.standby });
+                self.partner.is_awaited = true;
+                match self.lacks_keys(now) && self.drain.is_none() {
+                    true => self.effects.push(Effect::Log(LACKS_KEYS.into())),
+                    false => self.hand_over(),
+                }
             }
             Succession::Answered { conn, answer } => {
                 if self.deadlines.is_passed_on(conn) {
                     self.give(conn, Answer { close: true, ..answer });
                 }
             }
-            // It runs keys that nobody here hears of: nothing may begin here until it is gone.
-            Succession::SuccessorLost if self.partner.yields => self.give_up_partner(),
             // Nothing was handed over to it.
-            Succession::SuccessorLost => {}
-            Succession::SuccessorGone if !self.partner.yields => {}
+            Succession::SuccessorLost | Succession::SuccessorGone if !self.partner.yields => {
+                self.partner.is_awaited = false;
+            }
+            // It runs keys that nobody here hears of: nothing may begin here until it is gone.
+            Succession::SuccessorLost => self.give_up_partner(),
             Succession::SuccessorGone => {
                 (self.partner.yields, self.partner.lost) = (false, false);
                 self.halve_calls(false);
@@ -96,6 +105,37 @@
         }
     }
 
+    /// A process that went away may have run keys that are unknown here, and tries of them may come, or be read, yet.
+    fn lacks_keys(&self, now: Duration) -> bool {
+        let until = self.partner.barred_until;
+        !until.is_zero() && now <= until + self.longest_wait()
+    }
+
+    /// Hands all keys to a new process, which decides from then on.
+    fn hand_over(&mut self) {
+        self.partner.is_awaited = false;
+        self.partner.yields = true;
+        self.halve_calls(true);
+        let awaited = &self.partner.open;
+        let is_open = |key: &KeyState| key.open || awaited.contains_key(&key.key);
+        let keys = self.keys.all().into_iter().map(|key| KeyState { open: is_open(&key), ..key }).collect();
+        self.effects.push(Effect::HandOver { keys, standby: self.standby });
+    }
+
+    /// Hands over to a process that waits for the keys, once none are missing any more.
+    pub(super) fn hand_over_late(&mut self, now: Duration) {
+        if self.partner.is_awaited && !self.lacks_keys(now) {
+            self.hand_over();
+        }
+    }
+
+    /// A process that leaves takes its keys along: one that waits for them has those that are known at least.
+    pub(super) fn hand_over_before_leaving(&mut self) {
+        if self.partner.is_awaited {
+            self.hand_over();
+        }
+    }
+
     /// The end of a window that the old process told, within what the settings allow. One that is long over was told by
     /// another clock, as the old process does not keep such keys: its key stays taken for as long as it may.
     fn plausible_end(&self, now: Duration, until: Duration) -> Duration {
@@ -124,10 +164,11 @@
 
     /// What the old process had open has ended, or ends unheard: the keys stay taken.
     fn end_waits(&mut self, now: Duration) {
-        self.partner.open.clear();
+        let unheard: Vec<_> = self.partner.open.drain().map(|(key, _)| key).collect();
         let mut waiters: Vec<_> = self.partner.waits.drain().flat_map(|(_, waiters)| waiters).collect();
         waiters.sort_unstable();
         waiters.into_iter().for_each(|id| self.end_join(now, id, None));
+        unheard.iter().for_each(|key| self.settle_key(key));
     }
 
     /// The process that decides is asked nothing any more; what it was asked gets an answer here.
@@ -170,9 +211,11 @@
         self.partner.waits.get_mut(&run).map(|waiters| waiters.push(id)).is_some()
     }
 
-    /// The last try of a key has left: the process that decides is told what came of it.
+    /// The last try of a key has left: the process that decides is told what came of it, unless a process before this one
+    /// has yet to tell.
     pub(super) fn settle_key(&mut self, key: &Key) {
-        if self.partner.yields && !self.keys.is_open(key) {
+        let is_awaited = self.partner.open.contains_key(key);
+        if self.partner.yields && !is_awaited && !self.keys.is_open(key) {
             let (ran, result) = (self.keys.ran(key).is_some(), self.keys.result(key));
             self.effects.push(Effect::Settled { key: key.clone(), ran, result });
         }
@@ -192,5 +235,7 @@
             }
             self.end_join(now, id, result.clone());
         }
+        // This process may have handed over meanwhile, and the next one awaits the same run.
+        self.settle_key(key);
     }
 }
