--- a/src/lab/sweep.rs
+++ b/src/lab/sweep.rs
@@ -30,6 +30,20 @@
     r#""TERM","USR1","INT","TERM""#,
     r#""HUP","TERM","HUP","TERM","HUP""#,
 ];
+/// So many seeds of the soak in a row have the same faults of the stand-ins: none, the agents', the vault's, or both.
+pub const SOAK_KIND_SEEDS: u64 = 16;
+/// The longest lifetimes of links that agents end by themselves, in milliseconds.
+const SOAK_LINK_MS: [u64; 6] = [6, 10, 15, 30, 80, 450];
+/// Pauses of each matcher whose agent does so, and the longest, in milliseconds: what waited meanwhile comes at once.
+const SOAK_PAUSES: u64 = 3;
+const SOAK_PAUSE_MS: u64 = 300;
+/// Cores of those agents and the part of the work that a run is there, so that many runs are at their calls when a link ends.
+const SOAK_LINK_CORES: u64 = 64;
+const SOAK_LINK_WORK: u64 = 10;
+/// The crowd of those seeds.
+const SOAK_LINK_CROWD: &str = r#""burst":{"at_s":1.5,"for_s":6.0,"times":6},"#;
+/// Busy processes beside the matchers of one scenario of the soak, at most.
+const SOAK_MOST_BUSY: u64 = 4;
 /// Length of a scenario's load in seconds; faults lie within it.
 const SECONDS: f64 = 4.0;
 
@@ -78,7 +92,7 @@
 /// The soak's scenario of a seed: links to the agents that break several times a second, many faults that overlap, of the
 /// network, of the system and of the clock, and each matcher stopped by the platform while all that goes on: with signals
 /// in series, the kill at the earliest, callers that use their open connections up to it, and requests of every effect that
-/// fall due behind it; some seeds have a crowd.
+/// fall due behind it; some seeds have a crowd, and some agents that end their links by themselves and vaults that answer late.
 pub fn soak_scenario(seed: u64) -> String {
     let mut random = Random::new(seed ^ 0x50a4);
     let mut whole = move |below: u64| random.next_u64() % below;
@@ -101,7 +115,10 @@
     for _ in 0..SOAK_MATCHERS + whole(2 * SOAK_MATCHERS) {
         faults.push(soak_fault(&mut whole));
     }
+    let (agent, stand_ins, pauses) = soak_stand_ins(seed, work_ms);
+    faults.extend(pauses);
     let burst = match whole(3) {
+        _ if agent.contains("link_ms") => SOAK_LINK_CROWD.into(),
         0 => {
             let (at, times) = (1.0 + whole(50) as f64 / 10.0, 3 + whole(6));
             format!(r#""burst":{{"at_s":{at:.1},"for_s":2.0,"times":{times}}},"#)
@@ -109,11 +126,40 @@
         _ => String::new(),
     };
     format!(
-        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,"agent":{{"cores":6,"work_ms":{work_ms}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
+        r#"{{"seed":"{seed:x}","seconds":{SOAK_SECONDS},"matchers":{SOAK_MATCHERS},"direct":true,{stand_ins}"agent":{{{agent}}},"site":{{"stop_ms":{stop_ms},"give_up_ms":{give_up_ms},"every_effect":true}},"load":{{"rate":{rate},{burst}"keeps_open":true,"patience_ms":{patience_ms},"keyed_share":{keyed}}},"faults":[{}]}}"#,
         faults.join(",")
     )
 }
 
+/// The faults of a seed's stand-ins: its agents, what stands beside, and the pauses of their matchers. They have draws of their
+/// own, so that seeds without them, and the other faults of those with them, stay as they were.
+fn soak_stand_ins(seed: u64, work_ms: u64) -> (String, String, Vec<String>) {
+    let mut random = Random::new(seed ^ 0xe90c);
+    let mut whole = move |below: u64| random.next_u64() % below;
+    let kind = seed / SOAK_KIND_SEEDS % 4;
+    let (has_links, has_vault) = (kind & 1 == 1, kind & 2 == 2);
+    let link_ms = SOAK_LINK_MS[whole(SOAK_LINK_MS.len() as u64) as usize];
+    let busy = 1 + whole(SOAK_MOST_BUSY);
+    let agent = match has_links {
+        true => {
+            let work_ms = work_ms / SOAK_LINK_WORK + 1;
+            format!(r#""cores":{SOAK_LINK_CORES},"link_ms":{link_ms},"work_ms":{work_ms}"#)
+        }
+        false => format!(r#""cores":6,"work_ms":{work_ms}"#),
+    };
+    let beside = match kind {
+        0 => String::new(),
+        _ => format!(r#""faulty_vault":{has_vault},"busy":{busy},"#),
+    };
+    let pauses = if has_links { SOAK_MATCHERS * SOAK_PAUSES } else { 0 };
+    let pauses = (0..pauses).map(|n| {
+        let (m, at) = (1 + n % SOAK_MATCHERS, 0.5 + whole(70) as f64 / 10.0);
+        let last = (50 + whole(SOAK_PAUSE_MS - 50)) as f64 / 1_000.0;
+        format!(r#"{{"kind":"pause","at_s":{at:.1},"for_s":{last:.3},"target":"m{m}"}}"#)
+    });
+    (agent, beside, pauses.collect())
+}
+
 /// A stop of a matcher within the load, and its start after it.
 fn soak_stop(matcher: u64, kill_ms: u64, whole: &mut impl FnMut(u64) -> u64) -> String {
     let latest = (SOAK_SECONDS * 1_000.0) as u64 - kill_ms - SOAK_STOP_TAIL_MS;
@@ -172,6 +218,11 @@
     pub fn clean(&self) -> bool {
         self.verdict.as_ref().is_ok_and(Verdict::clean)
     }
+
+    /// There is a verdict, and no request was served.
+    pub fn made_no_progress(&self) -> bool {
+        self.verdict.as_ref().is_ok_and(|verdict| !verdict.statuses.contains_key(&200))
+    }
 }
 
 /// Plays `count` scenarios from seed `first` on, `at_once` at a time. `told` hears of each; the folders of clean ones
