--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -16,7 +16,7 @@
 
 /// Why a new process does not get the keys at once.
 const LACKS_KEYS: &str =
-    "a new process gets the keys, and the one before it may have run some that are not known here";
+    "a new process waits for the keys: the one before it may have run some that are not known here, for their window";
 
 /// What a reducer knows of the other process.
 #[derive(Default)]
@@ -83,10 +83,10 @@
             }
             Succession::Begin => {
                 self.partner.is_awaited = true;
-                if self.lacks_keys(now) {
-                    self.effects.push(Effect::Log(LACKS_KEYS.into()));
+                match self.lacks_keys(now) && self.drain.is_none() {
+                    true => self.effects.push(Effect::Log(LACKS_KEYS.into())),
+                    false => self.hand_over(),
                 }
-                self.hand_over();
             }
             Succession::Answered { conn, answer } => {
                 if self.deadlines.is_passed_on(conn) {
