Let the second of three processes end once it has handed over

Cause: the first process has the system send new connections to the second place among the listeners at its address, so that none waits at its own while it closes. That choice stays with the address after the first process is gone. When the third process listens there, it has the second place: it gets all new connections at once, and also the one by which the second process wakes its own accepting coroutine, which then never learns that it is to stop. Whose connections they are was worked out from the order of listeners.

Before: program upgrade::the_second_of_three_processes_... failed, no end within 10 s. Now a process that is to stop has connections sent to any listener first, until its own accepting coroutine has begun to stop. 13 of 13 of program upgrade::* passed.

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use may::net::{TcpListener, TcpStream};
@@ -112,6 +112,8 @@
 #[derive(Clone)]
 pub(super) struct Front {
     pub(super) address: SocketAddr,
+    /// Owned by the coroutine that accepts, which closes it.
+    listener: Weak<TcpListener>,
     state: Arc<StopState>,
 }
 
@@ -122,6 +124,12 @@
         if self.is_stopping() {
             return;
         }
+        if let Some(listener) = self.listener.upgrade().filter(|_| has_successor) {
+            // The process before may have had all new connections sent to another listener than this one.
+            if let Err(e) = newcomers::send_to_any(listener.inner()) {
+                debug!("new connections cannot be shared with the process that took over: {e}");
+            }
+        }
         self.state.has_successor.store(has_successor, Ordering::Release);
         self.state.is_asked.store(true, Ordering::Release);
         let front = self.clone();
@@ -150,7 +158,7 @@
 }
 
 /// Takes connections on a front until it is stopped.
-fn accept(listener: TcpListener, hub: &Arc<Hub>, state: &StopState, serve: impl Fn(Conn, Place)) {
+fn accept(listener: Arc<TcpListener>, hub: &Arc<Hub>, state: &StopState, serve: impl Fn(Conn, Place)) {
     // Also after an accept that failed: where all of them fail, the listener stops none the less.
     while !state.is_asked.load(Ordering::Acquire) {
         if let Some(stream) = accept_once(&listener) {
@@ -240,8 +248,9 @@
     if !shared {
         drop(at_start::open(|| std::net::TcpListener::bind(address))?);
     }
-    let listener = at_start::open(|| TcpListener::bind(address))?;
-    let front = Front { address: listener.local_addr()?, state: Arc::default() };
+    let listener = Arc::new(at_start::open(|| TcpListener::bind(address))?);
+    let (address, weak) = (listener.local_addr()?, Arc::downgrade(&listener));
+    let front = Front { address, listener: weak, state: Arc::default() };
     let (hub, state) = (hub.clone(), front.state.clone());
     spawn(move || accept(listener, &hub, &state, serve));
     Ok(front)
--- a/src/net/newcomers.rs
+++ b/src/net/newcomers.rs
@@ -20,6 +20,8 @@
 /// The place of a successor among the listeners at one address: the system keeps them in the order in which they began,
 /// and there are no more than two.
 const SUCCESSOR: u32 = 1;
+/// A place that no listener has: the system chooses by the addresses of the connection, as without a choice.
+const NO_PLACE: u32 = u32::MAX;
 
 /// One instruction; the two jumps count the instructions to skip where the test holds and where it does not.
 const fn instruction(code: u32, if_true: u8, if_false: u8, operand: u32) -> sock_filter {
@@ -33,8 +35,9 @@
     instruction(BPF_RET | BPF_K, 0, 0, DROP),
     instruction(BPF_RET | BPF_K, 0, 0, PASS),
 ];
-/// Runs where the system chooses a listener for a new connection.
+/// Run where the system chooses a listener for a new connection.
 const CHOOSE_SUCCESSOR: [sock_filter; 1] = [instruction(BPF_RET | BPF_K, 0, 0, SUCCESSOR)];
+const CHOOSE_BY_ADDRESS: [sock_filter; 1] = [instruction(BPF_RET | BPF_K, 0, 0, NO_PLACE)];
 
 /// Shuts out new handshakes: a client that begins one hears nothing, tries again after a second, and is refused then.
 ///
@@ -50,7 +53,19 @@
 /// # Errors
 /// What the system says where it has no such choice.
 pub(super) fn send_to_successor(listener: &impl AsFd) -> io::Result<()> {
-    let mut instructions = CHOOSE_SUCCESSOR;
+    choose(listener, CHOOSE_SUCCESSOR)
+}
+
+/// Has new handshakes begin at any listener at the same address. A choice outlives the listener by which it was made, as
+/// long as there is another one.
+///
+/// # Errors
+/// What the system says where it has no such choice.
+pub(super) fn send_to_any(listener: &impl AsFd) -> io::Result<()> {
+    choose(listener, CHOOSE_BY_ADDRESS)
+}
+
+fn choose(listener: &impl AsFd, mut instructions: [sock_filter; 1]) -> io::Result<()> {
     let program = sock_fprog { len: instructions.len() as u16, filter: instructions.as_mut_ptr() };
     setsockopt(listener, AttachReusePortCbpf, &program).map_err(io::Error::from)
 }
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -185,6 +185,21 @@
     assert_eq!(launches, [1, 0, 0]);
 }
 
+#[test]
+fn the_second_of_three_processes_ends_once_it_has_handed_over_as_the_first_did() {
+    // Guards against an old process that is never done, as what the one before it left at the address keeps connections away.
+    let agents = [1, 2, 3].map(|_| Agent::start(1, QUICK, false));
+    let mut first = Program::start(with_agent(&agents[0]));
+    let mut second = first.successor(&agents[0], &agents[1]);
+    first.signal("TERM");
+    assert!(first.end().success());
+    let third = second.successor(&agents[1], &agents[2]);
+    second.signal("TERM");
+    second.wait_for_log("leaves to the process that took over");
+    assert!(second.end().success());
+    assert_eq!(exchange(third.http, &Ask::new("queue-status", b"a").http()).body, b"made:a");
+}
+
 #[test]
 fn a_client_of_the_handover_socket_that_says_nothing_changes_nothing() {
     // Guards against keys that are refused for their whole window after anybody touched the socket.
