Wake the owner of a connection without the lock of all connections

By reading, while looking for what could make a server stand still: the reducer sent an answer to its coroutine under the lock of the table of connections. Dropping the waker (may's Park) waits for the worker as long as that runs the woken coroutine from within its own registration, and that coroutine takes the same lock once it has written the answer: both would wait for good. The sender is cloned under the lock, and used without it.

--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -10,11 +10,11 @@
 
 use super::clock::Clock;
 use super::closes::Closes;
-use super::connection_table::{Admission, Capacity, ConnectionTable};
+use super::connection_table::{Admission, Capacity, ConnectionTable, Giving};
 use super::listen::{ConnectionHandle, Place};
 use super::routed::Router;
 use super::stream::Conn;
-use crate::core::{ConnId, Input, Query};
+use crate::core::{Answer, ConnId, Input, Query};
 use crate::fleet;
 use crate::settings::Links;
 
@@ -68,6 +68,17 @@
     pub(super) classes: Mutex<Vec<String>>,
 }
 
+/// Whether an answer was given to its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Given {
+    /// It was owed, and its owner has it.
+    Owed,
+    /// The connection is owed none.
+    NotOwed,
+    /// There is no such connection.
+    Gone,
+}
+
 /// Names and values for people.
 pub(super) type Lines = Vec<(String, String)>;
 
@@ -197,6 +208,18 @@
         }
     }
 
+    /// Gives a connection the answer that it is owed.
+    pub(super) fn give_answer(&self, conn: ConnId, answer: &Arc<Answer>) -> Given {
+        let owner = match self.connections().give_answer(conn) {
+            Giving::Owed(handle) => handle.answer.clone(),
+            Giving::NotOwed => return Given::NotOwed,
+            Giving::Gone => return Given::Gone,
+        };
+        // Not under the lock: waking a coroutine may wait for the worker, which may wait for the lock.
+        let _ = owner.send(answer.clone());
+        Given::Owed
+    }
+
     /// Has all connections closed that are owed nothing.
     pub(super) fn evict_all(&self) {
         self.connections().shrink(0, Instant::now(), ConnectionHandle::evict);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,8 +42,8 @@
 use crate::core::{Core, Effect, Input, KeyState, Query};
 use crate::fleet;
 use crate::settings::{Config, Links};
-use connection_table::Giving;
 pub use error::NodeError;
+use hub::Given;
 pub use hub::Hub;
 use listen::{listen, next, Front, Place};
 use routed::Router;
@@ -334,13 +334,13 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Answer { conn, answer } => match self.hub.connections().give_answer(conn) {
-                Giving::Owed(handle) => drop(handle.answer.send(answer)),
-                Giving::NotOwed => {
+            Effect::Answer { conn, answer } => match self.hub.give_answer(conn, &answer) {
+                Given::Owed => {}
+                Given::NotOwed => {
                     warn!("violation: an answer that nothing asked for was withheld: connection {conn}");
                     self.hub.push_at_once(Input::Violated);
                 }
-                Giving::Gone => {
+                Given::Gone => {
                     if let Some(predecessor) = &self.predecessor {
                         predecessor.answer(conn, &answer);
                     }
