Play half as many labs side by side in tests: four were too many for the load tool

The load tool's probe, there since, took up to 185 and 239 ms, just under the 250 ms of a void play: four labs share the one thread of the load tool's coroutines, and their matchers the machine.

Change: a quarter of the processors in place of three fifths, two labs on eight. No check and no bound is changed.

--- a/tests/common/turns.rs
+++ b/tests/common/turns.rs
@@ -9,11 +9,11 @@
 /// A lab's place, given up when it is dropped.
 pub struct Turn(());
 
-/// Labs that may run side by side. One of five matchers takes four tenths of a core in a build without
-/// optimization (measured), and several times that while it starts and ends.
+/// Labs that may run side by side. One of five matchers takes four tenths of a core in a build without optimization, and
+/// several times that while it starts and ends; the load tools of all of them share one thread.
 pub fn most() -> usize {
     let cores = std::thread::available_parallelism().map_or(2, usize::from);
-    (cores * 3 / 5).max(2)
+    (cores / 4).max(2)
 }
 
 fn running() -> MutexGuard<'static, usize> {
