Wait for the end of a run before a test sends the request that needs its slot

Traced: the test writes the end of the first run on the agent's socket and the next request on another, and took their order for granted.

Change: the test waits until the program counted the end (run_cancelled=1).

--- a/tests/program/links.rs
+++ b/tests/program/links.rs
@@ -163,6 +163,8 @@
     if !received {
         assert_eq!(read_answer(&mut stream).status, 500, "no notice has reported the end of its run");
         link.send_outcome(2, &handle, "cancelled", b"");
+        // Read before the end of the run, the next request would find the run's slot taken and be refused.
+        wait_for("the end of the run", || program.counter("run_cancelled") == 1);
         stream.write_all(&Request::new("queue-status", b"b").http()).unwrap();
         assert_eq!(link.expect_command("launch").arg, b"b", "no command was sent in between");
         return;
