Give each ask of the lab's vaults a reply of its own, and check which ask is in force

Seen: the lab's vaults answered two asks of one call alike (reply: and the body), so that its agent could not tell a reply to an ask that was given up from the reply to the ask in force.

Change: the vault numbers its asks, a reply carries the number of its ask, and the agent compares it with the request's last ask (kind reply_of_abandoned_ask). A late reply may now come over the connection of the request's last ask, as at a proxy that keeps its calls by request. The vault without faults does the same, and records calls of what must run once, too.

New tests: a reply to an abandoned ask is a fault; two asks of one call get different replies.

--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -27,8 +27,9 @@
 use super::shim::{Dial, Shim};
 use super::site::SiteOptions;
 use super::stall;
-use super::stand_in::faulty_vault::faulty_vault;
-use super::stand_in::{vault, Agent, Control, Deadlines, Lifetimes};
+use super::stand_in::asks::Asks;
+use super::stand_in::faulty_vault::{faulty_vault, sound_vault};
+use super::stand_in::{Agent, Control, Deadlines, Lifetimes};
 
 /// Members that all members are told of at their start.
 const SEEDS: usize = 2;
@@ -120,7 +121,6 @@
     let path = options.folder.join("history.jsonl");
     let history = Recorder::create(&path)?;
     let control = Control::start().map_err(listen_error("the control plane"))?;
-    let sound_vault = vault();
     let mut links: HashMap<String, Link> = HashMap::new();
     let mut matchers = Vec::new();
     let work = Duration::from_millis(scenario.work_ms);
@@ -139,9 +139,11 @@
         let lifetimes = lifetimes.map(|most| Lifetimes { most, seed });
         let (cores, over) = (scenario.cores, deadlines.clone());
         let agent = Agent::recorded(cores, work, CALLS, history.clone(), &by, over, lifetimes);
+        let (asks, by) = (Asks::default(), format!("vault-{name}"));
+        agent.check_asks(asks.clone());
         let vault = match scenario.stand_ins.has_faulty_vault {
-            true => faulty_vault(seed, history.clone(), &format!("vault-{name}")),
-            false => Ok(sound_vault),
+            true => faulty_vault(seed, history.clone(), &by, asks),
+            false => sound_vault(history.clone(), &by, asks),
         };
         let vault = vault.map_err(listen_error("the vault"))?;
         let to_agent = Link::start(&format!("{name}-agent"), agent.address, seed, Some(history.clone()));
--- a/src/lab/stand_in/agent.rs
+++ b/src/lab/stand_in/agent.rs
@@ -12,6 +12,7 @@
 use base64::Engine;
 use tinyjson::JsonValue;
 
+use super::asks::Asks;
 use super::body::LabBody;
 use super::deadlines::Deadlines;
 use super::deliveries::{AtReply, Deliveries};
@@ -35,6 +36,8 @@
     /// Runs that wait for a call: the notice that asks for it, and its body.
     at_calls: HashMap<String, (u64, Vec<u8>)>,
     deliveries: Deliveries,
+    /// The asks of the vault behind it, where each reply is checked against the ask in force.
+    asks: Option<Asks>,
     /// Runs that are over.
     ended: HashSet<String>,
     notices: Vec<String>,
@@ -47,8 +50,9 @@
     /// What is wrong with a reply that came for a run, which is noted.
     fn wrong_with_reply(&mut self, handle: &str, reply: &[u8]) -> Option<String> {
         let is_launched = self.launches.iter().any(|(launched, ..)| launched == handle);
+        let ask = self.asks.as_ref().and_then(|asks| asks.in_force(handle));
         let run = match self.at_calls.get(handle) {
-            Some((notice, body)) => AtReply::Waiting { notice: *notice, body },
+            Some((notice, body)) => AtReply::Waiting { notice: *notice, body, ask: ask.as_ref() },
             None if is_launched && !self.ended.contains(handle) => AtReply::Running,
             None => AtReply::Over,
         };
@@ -335,6 +339,11 @@
         }
     }
 
+    /// Checks each reply from now on against the ask in force at the vault that records its asks there.
+    pub fn check_asks(&self, asks: Asks) {
+        self.told.lock().unwrap().asks = Some(asks);
+    }
+
     pub fn launches(&self) -> Vec<(String, String, Vec<u8>)> {
         self.told.lock().unwrap().launches.clone()
     }
--- a/src/lab/stand_in/deliveries.rs
+++ b/src/lab/stand_in/deliveries.rs
@@ -2,14 +2,17 @@
 
 use std::collections::HashMap;
 
+use super::asks::Ask;
+
 /// Bytes of a reply or call that a fault shows.
 const SHOWN: usize = 120;
 
 /// A run as its agent has it when a reply comes.
 #[derive(Clone, Copy, Debug)]
 pub enum AtReply<'a> {
-    /// It waits for the call that this notice asked for, with this body.
-    Waiting { notice: u64, body: &'a [u8] },
+    /// It waits for the call that this notice asked for, with this body. Where the asks of its vault are known, `ask` is the
+    /// request's ask in force.
+    Waiting { notice: u64, body: &'a [u8], ask: Option<&'a Ask> },
     /// It goes on, and waits for nothing.
     Running,
     /// It is over, or was never launched.
@@ -43,7 +46,13 @@
         let came_before = earlier.iter().any(|d| d.reply == reply);
         earlier.push(Delivery { reply: reply.to_vec(), link, notices });
         let kind = match run {
-            AtReply::Waiting { body, .. } if reply == [b"reply:", body].concat() => return None,
+            AtReply::Waiting { body, ask: None, .. } if reply == [b"reply:", body].concat() => return None,
+            AtReply::Waiting { body, ask: Some(ask), .. } if ask.body == body && reply == ask.reply() => {
+                return None
+            }
+            AtReply::Waiting { body, ask: Some(_), .. } if reply.ends_with(&[b":", body].concat()) => {
+                "reply_of_abandoned_ask"
+            }
             AtReply::Waiting { .. } => "reply",
             AtReply::Running | AtReply::Over if came_before => "reply_again",
             AtReply::Running => "reply_late",
@@ -51,7 +60,10 @@
             AtReply::Over => return None,
         };
         let call = match run {
-            AtReply::Waiting { notice, body } => format!("notice {notice} [{}]", shown(body)),
+            AtReply::Waiting { notice, body, ask } => {
+                let ask = ask.map_or(String::new(), |ask| format!(" ask {:016x}", ask.number));
+                format!("notice {notice} [{}]{ask}", shown(body))
+            }
             AtReply::Running | AtReply::Over => "none".into(),
         };
         let delivers: Vec<_> =
--- a/src/lab/stand_in/faulty_vault.rs
+++ b/src/lab/stand_in/faulty_vault.rs
@@ -1,13 +1,14 @@
-//! A vault of one matcher that answers each call well, but late, twice, out of order, or over another connection than it was
-//! asked on. A reply names its call by the call's body, so that the agent can tell whose it is.
+//! A vault of one matcher whose replies name the ask that they were made for. With faults, it answers each call well, but late,
+//! twice, out of order, or over another connection than it was asked on, such as that of the request's next ask.
 
 use std::collections::HashSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use super::asks::Asks;
 use super::body::LabBody;
 use crate::lab::history::{Event, Recorder};
 use crate::lab::random::Random;
@@ -29,6 +30,8 @@
     Own,
     /// The one that was made last.
     Newest,
+    /// That of the request's last ask, as at a proxy that keeps its calls by request.
+    LastAsk,
     /// Any, by this draw.
     Any(u64),
 }
@@ -43,21 +46,27 @@
 }
 
 impl Plan {
+    /// The call runs, and is answered at once over its own connection.
+    fn sound() -> Self {
+        Self { is_turned_away: false, copies: vec![(0, Over::Own)] }
+    }
+
     /// Draws what happens to a call that is waited for so long. Two calls of three are answered at once.
     pub fn draw(random: &mut Random, patience_ms: u64) -> Self {
         let mut below = |most: u64| random.next_u64() % most;
         let first = match below(12) {
             0..=8 => (0, Over::Own),
             9 => (10 + below(LATE_MS), Over::Own),
-            10 => (patience_ms + below(BEHIND_MS), Over::Newest),
+            10 => (patience_ms + below(BEHIND_MS), [Over::Newest, Over::LastAsk][below(2) as usize]),
             _ => (below(LATE_MS), Over::Any(below(1 << 20))),
         };
         let is_turned_away = below(12) == 0;
         let mut copies = vec![first];
         if below(4) == 0 {
-            let over = match below(3) {
+            let over = match below(4) {
                 0 => Over::Own,
                 1 => Over::Newest,
+                2 => Over::LastAsk,
                 _ => Over::Any(below(1 << 20)),
             };
             copies.push((below(COPY_MS), over));
@@ -69,20 +78,39 @@
 struct Shared {
     /// The connections that are open, in the order in which they were made.
     open: Mutex<Vec<(u64, TcpStream)>>,
-    random: Mutex<Random>,
+    /// The draws of the faults; `None` for a vault without faults.
+    random: Option<Mutex<Random>>,
+    asks: Asks,
     /// Calls of requests that must run once, and ran.
     ran: Mutex<HashSet<Vec<u8>>>,
     history: Recorder,
     by: String,
 }
 
-/// Starts one; a call of what must run once that ran before goes to the history as changed, by `by`.
-pub fn faulty_vault(seed: u64, history: Recorder, by: &str) -> std::io::Result<SocketAddr> {
+/// Starts one with faults drawn from a seed. It records its asks in `asks`; a call of what must run once that ran before goes
+/// to the history as changed, by `by`.
+///
+/// # Errors
+/// The system's error where it cannot listen.
+pub fn faulty_vault(seed: u64, history: Recorder, by: &str, asks: Asks) -> io::Result<SocketAddr> {
+    start(Some(Random::new(seed)), history, by, asks)
+}
+
+/// The same without faults: each call is answered at once, over its own connection.
+///
+/// # Errors
+/// The system's error where it cannot listen.
+pub fn sound_vault(history: Recorder, by: &str, asks: Asks) -> io::Result<SocketAddr> {
+    start(None, history, by, asks)
+}
+
+fn start(random: Option<Random>, history: Recorder, by: &str, asks: Asks) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let shared = Arc::new(Shared {
         open: Mutex::default(),
-        random: Mutex::new(Random::new(seed)),
+        random: random.map(Mutex::new),
+        asks,
         ran: Mutex::default(),
         history,
         by: by.into(),
@@ -124,32 +152,42 @@
     }
 
     fn ask(self: &Arc<Self>, number: u64, id: &str, patience_ms: u64, body: &[u8]) {
-        let plan = Plan::draw(&mut self.random.lock().unwrap_or_else(PoisonError::into_inner), patience_ms);
+        let ask = self.asks.begin(id, number, body);
+        let plan = match &self.random {
+            Some(random) => {
+                Plan::draw(&mut random.lock().unwrap_or_else(PoisonError::into_inner), patience_ms)
+            }
+            None => Plan::sound(),
+        };
         let reply = match plan.is_turned_away {
             true => format!("{id} notnow\r\n").into_bytes(),
             false => {
                 self.note_run(id, body);
-                let head = format!("{id} yes {}\r\nreply:", body.len() + "reply:".len());
-                [head.as_bytes(), body, b"\r\n"].concat()
+                let reply = ask.reply();
+                [format!("{id} yes {}\r\n", reply.len()).as_bytes(), &reply, b"\r\n"].concat()
             }
         };
         for (wait_ms, over) in plan.copies {
-            let (shared, reply) = (self.clone(), reply.clone());
+            let (shared, reply, id) = (self.clone(), reply.clone(), id.to_string());
             match wait_ms {
-                0 => shared.write(number, over, &reply),
+                0 => shared.write(&id, number, over, &reply),
                 _ => drop(thread::spawn(move || {
                     thread::sleep(Duration::from_millis(wait_ms));
-                    shared.write(number, over, &reply);
+                    shared.write(&id, number, over, &reply);
                 })),
             }
         }
     }
 
-    fn write(&self, number: u64, over: Over, reply: &[u8]) {
+    fn write(&self, id: &str, asked_on: u64, over: Over, reply: &[u8]) {
+        let number = match over {
+            Over::LastAsk => self.asks.in_force(id).map_or(asked_on, |ask| ask.connection),
+            _ => asked_on,
+        };
         let mut open = self.open();
         let count = open.len() as u64;
         let found = match over {
-            Over::Own => open.iter_mut().find(|(other, _)| *other == number),
+            Over::Own | Over::LastAsk => open.iter_mut().find(|(other, _)| *other == number),
             Over::Newest => open.last_mut(),
             Over::Any(draw) => open.get_mut((draw % count.max(1)) as usize),
         };
--- a/src/lab/stand_in/mod.rs
+++ b/src/lab/stand_in/mod.rs
@@ -3,6 +3,7 @@
 //! fault spoilt ends a link; it never ends the stand-in.
 
 mod agent;
+pub mod asks;
 mod body;
 mod control;
 mod deadlines;
--- a/tests/lab_agent.rs
+++ b/tests/lab_agent.rs
@@ -8,6 +8,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 use hopwalk::lab::history::{self, Event, Recorder};
+use hopwalk::lab::stand_in::asks::Asks;
 use hopwalk::lab::stand_in::{Agent, Deadlines, Lifetimes};
 
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -170,6 +171,26 @@
     assert_eq!(recording.changed(), faults(&[("h", "reply")]));
 }
 
+#[test]
+fn the_reply_to_an_ask_that_another_ask_of_the_same_call_gave_up_is_a_fault() {
+    let recording = Recording::start("asks", 1, None);
+    let asks = Asks::default();
+    recording.agent.check_asks(asks.clone());
+    let mut link = Link::open(recording.agent.address, 0);
+    let mut all = Vec::new();
+    for handle in ["h", "k"] {
+        let body = format!("lab {handle}  seat");
+        link.say_about("launch", handle, &body);
+        link.wait_for("request");
+        all.push([0, 1].map(|connection| asks.begin(handle, connection, body.as_bytes())));
+    }
+    for (handle, ask) in [("h", &all[0][0]), ("k", &all[1][1])] {
+        link.say_about("deliver", handle, std::str::from_utf8(&ask.reply()).unwrap());
+    }
+    link.until_read();
+    assert_eq!(recording.changed(), faults(&[("h", "reply_of_abandoned_ask")]));
+}
+
 #[test]
 fn the_reply_to_a_call_that_was_skipped_is_a_fault_and_one_to_a_run_that_is_over_is_none() {
     // Between its two calls the run works for a while, so that it is at neither when the reply is read.
--- a/tests/lab_faulty_vault.rs
+++ b/tests/lab_faulty_vault.rs
@@ -1,4 +1,4 @@
-//! The lab's faulty vault answers each call well, and says by its body which call a reply was made for.
+//! The lab's faulty vault answers each call well, and its replies say for which ask they were made.
 
 use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -8,7 +8,8 @@
 
 use hopwalk::lab::history::{self, Event, Recorder};
 use hopwalk::lab::random::Random;
-use hopwalk::lab::stand_in::faulty_vault::{faulty_vault, Over, Plan};
+use hopwalk::lab::stand_in::asks::Asks;
+use hopwalk::lab::stand_in::faulty_vault::{faulty_vault, sound_vault, Over, Plan};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 /// How long each call is waited for, and how late a reply or copy may come behind it, at most.
@@ -71,6 +72,11 @@
     assert!(count(&|p| p.copies[0] == (0, Over::Own)) > 2_000);
     assert!(count(&|p| p.copies[0].0 >= 100) > 100, "behind the call's time");
     assert!(count(&|p| matches!(p.copies[0].1, Over::Any(_))) > 100, "over another connection");
+    let is_late_at_last_ask = |p: &Plan| p.copies[0].0 >= 100 && p.copies[0].1 == Over::LastAsk;
+    assert!(
+        count(&is_late_at_last_ask) > 50,
+        "behind the call's time, over the connection of the request's last ask"
+    );
     assert!(count(&|p| p.copies.len() == 2 && p.copies[1].0 < p.copies[0].0) > 10, "out of order");
     assert!(count(&|p| p.copies.len() == 2 && !p.is_turned_away) > 300, "twice");
     assert!(count(&|p| p.copies.len() == 2 && p.is_turned_away) > 20, "turned away twice");
@@ -80,7 +86,8 @@
 fn replies_come_twice_and_over_other_connections_and_each_names_its_call() {
     let file = history_file("replies");
     let recorder = Recorder::create(&file).unwrap();
-    let vault = faulty_vault(3, recorder.clone(), "vault-m1").unwrap();
+    let asks = Asks::default();
+    let vault = faulty_vault(3, recorder.clone(), "vault-m1", asks.clone()).unwrap();
     let mut connections: Vec<_> = (0..4).map(|_| Connection::open(vault)).collect();
     let mut asked_on = HashMap::new();
     for call in 0..400 {
@@ -93,7 +100,9 @@
     for (at, connection) in connections.iter_mut().enumerate() {
         for (id, reply) in connection.replies(LATEST) {
             strayed += usize::from(asked_on[&id] != at);
-            let own = format!("reply:lab {id}  seat");
+            let ask = asks.in_force(&id).unwrap();
+            assert_eq!(ask.body, format!("lab {id}  seat").into_bytes());
+            let own = String::from_utf8(ask.reply()).unwrap();
             assert!(reply.is_none() || reply.as_ref() == Some(&own), "{reply:?}");
             came.entry(id).or_default().push(reply);
         }
@@ -112,7 +121,7 @@
 fn a_call_that_must_run_once_and_is_made_again_after_it_ran_is_a_fault() {
     let file = history_file("once");
     let recorder = Recorder::create(&file).unwrap();
-    let vault = faulty_vault(3, recorder.clone(), "vault-m1").unwrap();
+    let vault = faulty_vault(3, recorder.clone(), "vault-m1", Asks::default()).unwrap();
     let mut connection = Connection::open(vault);
     for _ in 0..2 {
         for call in 0..40 {
@@ -150,3 +159,21 @@
     assert!(ran_twice.len() > 10, "{ran_twice:?}");
     assert_eq!(again, ran_twice);
 }
+
+#[test]
+fn two_asks_of_one_call_get_replies_with_content_of_their_own() {
+    let file = history_file("asks");
+    let recorder = Recorder::create(&file).unwrap();
+    let vault = sound_vault(recorder.clone(), "vault-m1", Asks::default()).unwrap();
+    let replies = [0, 1].map(|_| {
+        let mut connection = Connection::open(vault);
+        connection.ask("00000000000000aa", "lab 00000000000000aa  seat");
+        let replies = connection.replies(Duration::from_millis(200));
+        assert_eq!(replies.len(), 1, "{replies:?}");
+        replies[0].1.clone().unwrap()
+    });
+    assert!(replies.iter().all(|reply| reply.ends_with(":lab 00000000000000aa  seat")), "{replies:?}");
+    assert_ne!(replies[0], replies[1]);
+    recorder.finish();
+    std::fs::remove_file(&file).unwrap();
+}
