Log each ask of a call, and check each reply against what was read before it is written

Seen: the logs of four incidents told nothing of calls, so that nobody could say for which ask a wrong reply was made.

Change: a reply carries a record of where it was read: request, notice, attempt, connection and a digest of its content (core/reply). At the one place where replies are written to the agent (net/agent/reply_guard) this is compared with the command's request and call, the content's digest now, the replies written before and the command's number on its link; a reply that differs is withheld, counted as a violation, and logged whole with the last replies. A reply that the reducer drops, as its ask is over, is logged.

--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hopwalk::console::{self, ConsoleCommand};
-use hopwalk::core::{Command, End, LinkId, Notice, Succession};
+use hopwalk::core::{AskId, CallReply, Command, End, LinkId, Notice, Succession};
 use hopwalk::json;
 use hopwalk::net::agent::{self, next_notice};
 use hopwalk::net::handover::{self, HandoverMessage, ReceivedMessage};
@@ -110,9 +110,10 @@
         if let Notice::CallNeeded { handle, body, .. } = notice {
             let (timeout, cursor) = (Duration::ZERO, 1);
             let class = String::from_utf8_lossy(&body).as_ref().into();
+            let ask = AskId { handle, cursor, attempt: 1 };
             let commands = [
                 Command::Launch { handle, class, arg: body.clone(), timeout },
-                Command::Deliver { handle, cursor, arg: body },
+                Command::Deliver { handle, cursor, reply: CallReply::read(ask, 1, body) },
                 Command::Freeze { handle },
                 Command::Thaw { handle },
                 Command::Forgo { handle, cursor },
--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -392,9 +392,9 @@
                     run.state = State::Going;
                 }
             }
-            Command::Deliver { handle, arg, .. } => {
+            Command::Deliver { handle, reply, .. } => {
                 if let Some(State::AtCall(cursor)) = self.runs.get(&handle).map(|r| r.state) {
-                    assert_eq!(*arg, cursor.to_be_bytes(), "{handle} gets the reply to another call");
+                    assert_eq!(*reply.body, cursor.to_be_bytes(), "{handle} gets the reply to another call");
                     self.runs.get_mut(&handle).into_iter().for_each(|run| run.state = State::Going);
                 }
             }
@@ -697,7 +697,9 @@
                     // As the protocol words it, not as the program does.
                     let proven = matches!(end, End::Complete | End::NotNow | End::Pointless | End::Refused);
                     self.asked.get_mut(&handle).into_iter().for_each(|a| a.unproved_call = !proven);
-                    let reply = (end == End::Complete).then(|| self.reply_to(handle));
+                    let ask = AskId { handle, cursor: 0, attempt };
+                    let reply =
+                        (end == End::Complete).then(|| CallReply::read(ask, 1, self.reply_to(handle)));
                     self.step(n, vec![Input::CallEnded { handle, attempt, end, reply, fence: None }]);
                 }
             }
@@ -783,7 +785,8 @@
             8 => {
                 let attempt = u32::from(pick) % 4;
                 self.nodes[0].calls.retain(|(h, _)| *h != handle);
-                self.step(0, vec![Input::CallEnded { handle, attempt, end, reply: body, fence: None }]);
+                let reply = body.map(|body| CallReply::read(AskId { handle, cursor: any, attempt }, 1, body));
+                self.step(0, vec![Input::CallEnded { handle, attempt, end, reply, fence: None }]);
                 return Ok(());
             }
             _ => {
--- a/src/core/call_history.rs
+++ b/src/core/call_history.rs
@@ -4,26 +4,11 @@
 //! connection. So each request records the replies to its earlier calls. A further call is made only if all of these
 //! replies are known: then a copy is recognised by its content, and any other reply belongs to the call in progress.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
-use super::End;
+use super::{End, ReplyDigest};
 
 /// Maximum number of replies that are recorded for a request; after that, it makes no further calls.
 const MAX_REPLIES: usize = 1024;
 
-/// A digest of a successful reply, used to recognise copies of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReplyDigest(u64);
-
-impl ReplyDigest {
-    /// Returns the digest of a reply.
-    pub fn of(reply: &[u8]) -> Self {
-        let mut hasher = DefaultHasher::new();
-        reply.hash(&mut hasher);
-        Self(hasher.finish())
-    }
-}
-
 /// The replies to the calls of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct CallHistory {
@@ -59,8 +44,8 @@
     }
 
     /// Records the successful reply to an attempt.
-    pub(super) fn replied(&mut self, reply: &[u8]) {
-        self.replies.push(ReplyDigest::of(reply));
+    pub(super) fn replied(&mut self, reply: ReplyDigest) {
+        self.replies.push(reply);
     }
 
     /// Records that an attempt ended in another way. Returns whether this end is known to belong to the attempt,
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -4,7 +4,7 @@
 
 use super::call_history::CallHistory;
 use super::types::*;
-use super::{Core, End, Phase, Timer};
+use super::{CallReply, Core, End, Phase, Timer};
 use crate::interface::{Event, Outcome, Repeat, RequestId};
 
 /// A call that the vault has not ended is cancelled this long after its timeout.
@@ -93,6 +93,7 @@
         request.call.attempt = self.last_attempt;
         request.call.began = Some(now);
         let (handle, attempt, body) = (request.handle, request.call.attempt, request.call.body.clone());
+        let cursor = request.call.cursor;
         let earlier_replies = request.call.history.replies().into();
         let at_most_once = self.site.settings.classes[request.class].repeat != Repeat::Idempotent;
         // On a connection that was used before, a late copy of this request's last reply may arrive, or the
@@ -102,6 +103,7 @@
         let route = request.route.as_ref().map(|r| Box::new(r.call(&self.site.class_names[request.class])));
         self.effects.push(Effect::Call {
             handle,
+            cursor,
             attempt,
             at_most_once,
             fresh,
@@ -119,21 +121,26 @@
         handle: Handle,
         attempt: u32,
         end: End,
-        reply: Option<Bytes>,
+        reply: Option<CallReply>,
     ) {
-        let Some(&id) = self.handles.get(&handle) else { return };
-        let Some(request) = self.requests.get_mut(&id).filter(|request| request.call.is_in_progress(attempt))
-        else {
+        let id = self.handles.get(&handle).copied();
+        let request = id.and_then(|id| self.requests.get_mut(&id));
+        let request = request.filter(|request| request.call.is_in_progress(attempt));
+        let (Some(id), Some(request)) = (id, request) else {
+            if let Some(reply) = reply {
+                let text = format!("a reply was dropped, as its ask is over: {}", reply.origin);
+                self.effects.push(Effect::Log(text));
+            }
             return;
         };
         let Some(began) = request.call.began.take() else { return };
         self.counters.call_ended(end);
         let outcome = match (end.outcome(), reply) {
-            (Outcome::Done, Some(arg)) => {
+            (Outcome::Done, Some(reply)) => {
                 request.phase = Phase::Running;
-                request.call.history.replied(&arg);
+                request.call.history.replied(reply.origin.digest);
                 let cursor = request.call.cursor;
-                self.send_run_command(id, Command::Deliver { handle, cursor, arg });
+                self.send_run_command(id, Command::Deliver { handle, cursor, reply });
                 Outcome::Done
             }
             (Outcome::Done, None) => Outcome::Error,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod error;
 pub mod keys;
 mod reload;
+mod reply;
 mod runs;
 mod shutdown;
 mod succession;
@@ -34,13 +35,13 @@
 use crate::settings::Site;
 
 use answer_deadlines::AnswerDeadlines;
-pub use call_history::ReplyDigest;
 use calls::CallState;
 pub use counters::Counters;
 use delivery::{AgentLink, PendingCommand, SentCommands};
 pub use end::End;
 pub use error::CoreError;
 use keys::Keys;
+pub use reply::{AskId, CallReply, ReplyDigest, ReplyOrigin};
 pub use types::*;
 
 /// How long requested gauges are awaited. The decision module's timers must not stop if the agent sends none.
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{End, ReplyDigest};
+use super::{CallReply, End, ReplyDigest};
 use crate::fleet::experiment::counts::Kind;
 use crate::fleet::routes::Fence;
 use crate::fleet::routing;
@@ -134,7 +134,7 @@
         /// How the call ended.
         end: End,
         /// The reply, if the call succeeded.
-        reply: Option<Bytes>,
+        reply: Option<CallReply>,
         /// The fence under which the call was sent, if it was sent and the fleet routes calls.
         fence: Option<Fence>,
     },
@@ -358,7 +358,7 @@
         /// The number of the notice that requested the call. It is not sent.
         cursor: u64,
         /// The reply.
-        arg: Bytes,
+        reply: CallReply,
     },
     /// Continue a run without the call that it waits for.
     Forgo {
@@ -451,6 +451,8 @@
     Call {
         /// The request that the call is for.
         handle: Handle,
+        /// The number of the notice that requested the call.
+        cursor: u64,
         /// The number of the attempt.
         attempt: u32,
         /// The call must not be repeated, unless it is proven not to have run.
--- a/src/net/agent/link_manager.rs
+++ b/src/net/agent/link_manager.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info, warn};
 
 use super::reader::Reader;
+use super::reply_guard::ReplyGuard;
 use super::wire::{encode, encode_move, encode_subscribe};
 use super::{EndedLink, LinkEvent, OutgoingCommand};
 use crate::core::{Handle, Input, LinkEnd, LinkId, Notice};
@@ -51,12 +52,8 @@
 }
 
 impl OpenLink {
-    /// Appends a command to the bytes to be written, if it is meant for this link.
+    /// Appends a command to the bytes to be written.
     fn encode(&mut self, outgoing: &OutgoingCommand, out: &mut String) {
-        if outgoing.link != self.id {
-            self.dropped += 1;
-            return;
-        }
         encode(self.id, &outgoing.command, out);
         self.last_queued = outgoing.number;
         self.last_run_command = outgoing.command.name_and_handle().or(self.last_run_command);
@@ -86,6 +83,7 @@
     unreadable_after: Arc<Mutex<Option<u64>>>,
     /// The link that was opened last.
     newest: LinkId,
+    reply_guard: ReplyGuard,
 }
 
 impl LinkManager {
@@ -98,6 +96,7 @@
             cursor: Arc::default(),
             unreadable_after: Arc::default(),
             newest: LinkId::NONE,
+            reply_guard: ReplyGuard::default(),
         }
     }
 
@@ -176,7 +175,7 @@
             let mut event = self.events.recv().ok()?;
             loop {
                 match event {
-                    LinkEvent::Command(outgoing) => link.encode(&outgoing, &mut out),
+                    LinkEvent::Command(outgoing) => self.queue(&mut link, &outgoing, &mut out),
                     LinkEvent::Ended(ended) if ended.link == link.id => {
                         self.report_broken(&link, &ended);
                         return None;
@@ -201,8 +200,26 @@
         }
     }
 
+    /// Queues a command for writing, if it is meant for this link and no reply that belongs to another call.
+    fn queue(&mut self, link: &mut OpenLink, outgoing: &OutgoingCommand, out: &mut String) {
+        if outgoing.link != link.id {
+            link.dropped += 1;
+            return;
+        }
+        match self.reply_guard.check(outgoing, link.last_queued) {
+            Ok(entry) => {
+                link.encode(outgoing, out);
+                entry.into_iter().for_each(|entry| self.hub.call_log.record(entry));
+            }
+            Err(mismatch) => {
+                self.reply_guard.log_withheld(outgoing, link.id, mismatch);
+                self.hub.push_nonblocking(Input::ViolationDetected);
+            }
+        }
+    }
+
     /// Reports to the reducer that a link broke.
-    fn report_broken(&self, link: &OpenLink, ended: &EndedLink) {
+    fn report_broken(&mut self, link: &OpenLink, ended: &EndedLink) {
         link.conn.shutdown(Shutdown::Both);
         let last =
             link.last_run_command.map_or("none".to_string(), |(event, handle)| format!("{event} {handle}"));
@@ -220,7 +237,8 @@
 
     /// Reports to the reducer how a link ended. It does not wait for room in the inbox, so that no notice of the next
     /// link can arrive before the report.
-    fn report_end(&self, link: &OpenLink, end: LinkEnd) {
+    fn report_end(&mut self, link: &OpenLink, end: LinkEnd) {
+        self.reply_guard.retract(link.id, link.last_written);
         self.hub.push_nonblocking(Input::Agent { link: link.id, notice: Notice::Closed(end) });
     }
 
--- a/src/net/agent/mod.rs
+++ b/src/net/agent/mod.rs
@@ -7,6 +7,7 @@
 
 mod link_manager;
 mod reader;
+mod reply_guard;
 mod wire;
 
 use std::net::SocketAddr;
@@ -81,5 +82,7 @@
     }
 }
 
+#[cfg(test)]
+mod reply_guard_tests;
 #[cfg(test)]
 mod tests;
--- a/src/net/agent/tests.rs
+++ b/src/net/agent/tests.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::core::{Bytes, Core, Effect, Handle, Input, Notice, Request};
+use crate::core::{AskId, Bytes, CallReply, Core, Effect, Handle, Input, Notice, Request};
 use crate::net::call_routing::fake::test_hub;
 use crate::settings::Site;
 
@@ -167,18 +167,15 @@
 
     /// A reply to the last call that the reducer made.
     fn reply(&self, body: &[u8]) -> Input {
-        let attempt = self.effects.iter().rev().find_map(|effect| match effect {
-            Effect::Call { attempt, .. } => Some(*attempt),
+        let ask = self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::Call { handle, cursor, attempt, .. } => {
+                Some(AskId { handle: *handle, cursor: *cursor, attempt: *attempt })
+            }
             _ => None,
         });
-        let reply = Some(Bytes::from(body));
-        Input::CallEnded {
-            handle: handle(),
-            attempt: attempt.unwrap(),
-            end: End::Complete,
-            reply,
-            fence: None,
-        }
+        let ask = ask.unwrap();
+        let reply = Some(CallReply::read(ask, 1, Bytes::from(body)));
+        Input::CallEnded { handle: handle(), attempt: ask.attempt, end: End::Complete, reply, fence: None }
     }
 
     /// Starts a run that waits for the reply to its first call, which has been made.
--- a/src/net/agent/wire.rs
+++ b/src/net/agent/wire.rs
@@ -48,8 +48,8 @@
         }
         Command::Freeze { handle } => format!(r#"{{"event":"freeze","handle":"{handle}"}}"#),
         Command::Thaw { handle } => format!(r#"{{"event":"thaw","handle":"{handle}"}}"#),
-        Command::Deliver { handle, arg, .. } => {
-            format!(r#"{{"event":"deliver","handle":"{handle}","arg":"{}"}}"#, BASE64.encode(arg))
+        Command::Deliver { handle, reply, .. } => {
+            format!(r#"{{"event":"deliver","handle":"{handle}","arg":"{}"}}"#, BASE64.encode(&reply.body))
         }
         Command::Forgo { handle, cursor } => {
             format!(r#"{{"event":"forgo","handle":"{handle}","cursor":{cursor}}}"#)
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -9,6 +9,7 @@
 
 use may::sync::mpsc as co;
 
+use super::call_log::CallLog;
 use super::call_routing::Router;
 use super::clock::Clock;
 use super::close_counts::CloseCounts;
@@ -39,6 +40,9 @@
     pub(super) queued_inputs: AtomicUsize,
     connections: Mutex<ConnectionTable<ConnectionHandle>>,
     pub(super) next_conn: AtomicU64,
+    /// The number of the last connection to the dependency.
+    last_call_connection: AtomicU64,
+    pub(super) call_log: CallLog,
     /// How many connections were closed, by reason.
     pub(super) closes: CloseCounts,
     /// How many descriptors the process may use.
@@ -100,6 +104,8 @@
             queued_inputs: AtomicUsize::new(0),
             connections: Mutex::default(),
             next_conn: AtomicU64::new(1),
+            last_call_connection: AtomicU64::new(0),
+            call_log: CallLog::default(),
             closes: CloseCounts::default(),
             sockets,
             max_connections: AtomicUsize::new(1),
@@ -144,6 +150,11 @@
         self.next_conn.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Assigns a number to a connection to the dependency. Numbers begin at 1.
+    pub(super) fn new_call_connection(&self) -> u64 {
+        self.last_call_connection.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Sends an input to the reducer. Waits while the inbox is full.
     pub fn push(&self, input: Input) {
         while self.queued_inputs.load(Ordering::Relaxed) >= INBOX_CAPACITY {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 pub mod agent;
+mod call_log;
 pub mod call_routing;
 pub mod clock;
 mod close_counts;
@@ -41,7 +42,7 @@
 use tracing::{info, warn};
 
 use crate::acme::SharedCertificate;
-use crate::core::{Core, Effect, Input, KeyState, Query};
+use crate::core::{AskId, Core, Effect, Input, KeyState, Query};
 use crate::fleet;
 use crate::settings::{Config, Links};
 use call_routing::Router;
@@ -303,6 +304,7 @@
                 exiting |= effect == Effect::Exit;
                 self.perform(effect);
             }
+            self.hub.call_log.flush_old();
             if let Some(fatal_error) = self.fatal_error {
                 return Err(fatal_error);
             }
@@ -321,6 +323,7 @@
             predecessor.flush();
         }
         self.successor.flush();
+        self.hub.call_log.flush();
         info!("counters at exit: {}", self.core.counters());
         info!("connections closed: {}", self.hub.closes);
         Ok(())
@@ -359,20 +362,17 @@
                 Runner::Application(application) => application.send(command),
                 Runner::None => {}
             },
-            Effect::Call { handle, attempt, fresh, earlier_replies, timeout, body, route, .. } => match &self
-                .dependency
-            {
-                Dependency::Vault(vault) => vault.send(vault::Order::Ask {
-                    handle,
-                    attempt,
-                    fresh,
-                    earlier_replies,
-                    timeout,
-                    body,
-                    route,
-                }),
-                Dependency::Scgi(service) => scgi::call(*service, &self.hub, handle, attempt, timeout, body),
-            },
+            Effect::Call {
+                handle, cursor, attempt, fresh, earlier_replies, timeout, body, route, ..
+            } => {
+                let ask = AskId { handle, cursor, attempt };
+                match &self.dependency {
+                    Dependency::Vault(vault) => {
+                        vault.send(vault::Order::Ask { ask, fresh, earlier_replies, timeout, body, route })
+                    }
+                    Dependency::Scgi(service) => scgi::call(*service, &self.hub, ask, timeout, body),
+                }
+            }
             Effect::CancelCall { handle, attempt } => {
                 // SCGI has no message to cancel a call: the call ends with its own timeout.
                 if let Dependency::Vault(vault) = &self.dependency {
--- a/src/net/scgi.rs
+++ b/src/net/scgi.rs
@@ -17,7 +17,7 @@
 use super::frontend::{is_timeout, read_some, Wire};
 use super::http::{answer_parts, parse_target, reason_phrase, Target};
 use super::{spawn, Hub};
-use crate::core::{Answer, Bytes, Command, End, Handle, Input, LinkId, Notice};
+use crate::core::{Answer, AskId, Bytes, CallReply, Command, End, Handle, Input, LinkId, Notice};
 
 /// Digits of the longest length of a header block.
 const MAX_LENGTH_DIGITS: usize = 5;
@@ -246,17 +246,12 @@
 }
 
 /// Makes a call to the dependency, an SCGI service, on a coroutine of its own.
-pub fn call(
-    service: SocketAddr,
-    hub: &Arc<Hub>,
-    handle: Handle,
-    attempt: u32,
-    timeout: Duration,
-    body: Bytes,
-) {
+pub fn call(service: SocketAddr, hub: &Arc<Hub>, ask: AskId, timeout: Duration, body: Bytes) {
     let hub = hub.clone();
     spawn(move || {
+        let (handle, attempt) = (ask.handle, ask.attempt);
         let (end, reply) = exchange(service, &encode_call("/call", handle, timeout, &body), timeout);
+        let reply = reply.map(|body| CallReply::read(ask, hub.new_call_connection(), body));
         hub.push(Input::CallEnded { handle, attempt, end, reply, fence: None });
     });
 }
--- a/src/net/vault/mod.rs
+++ b/src/net/vault/mod.rs
@@ -18,11 +18,12 @@
 
 use tracing::debug;
 
+use super::call_log::CallEvent;
 use super::frontend::is_timeout;
 use super::lines::LinkReader;
 use super::stream::Conn;
 use super::{spawn, Hub};
-use crate::core::{Bytes, End, Handle, Input, ReplyDigest};
+use crate::core::{AskId, Bytes, CallReply, End, Handle, Input, ReplyDigest};
 use crate::fleet::routes::{Fence, MAX_CLOCK_BOUND};
 use crate::fleet::routing::{Call, CallLimits, RouteDecision};
 
@@ -50,10 +51,8 @@
 pub enum Order {
     /// Make a call.
     Ask {
-        /// The request that the call belongs to.
-        handle: Handle,
-        /// The number of the call within its request.
-        attempt: u32,
+        /// The request, its call and the attempt.
+        ask: AskId,
         /// The call needs a connection that was not used before.
         fresh: bool,
         /// The replies to earlier calls of the request: a copy of one of them is ignored.
@@ -69,7 +68,7 @@
     Unask {
         /// The request that the call belongs to.
         handle: Handle,
-        /// The number of the call within its request.
+        /// The number of the attempt.
         attempt: u32,
     },
     /// The configuration was read again: the vault's address may have changed.
@@ -81,15 +80,29 @@
 struct Pool {
     /// The call in progress of each request, and its connection once it has one.
     in_progress: HashMap<Handle, (u32, Option<Conn>)>,
-    /// Idle connections, with their address and the time since which they are idle. The last one was used most
-    /// recently.
-    idle: Vec<(Conn, SocketAddr, Instant)>,
+    /// Idle connections. The last one was used most recently.
+    idle: Vec<IdleConnection>,
     /// The fences of calls that may have been executed.
     sent_fences: HashMap<Handle, SentFence>,
     /// Changes when the configuration is read again: a connection of an earlier epoch is not reused.
     epoch: u64,
 }
 
+/// A connection to the dependency.
+#[derive(Clone)]
+struct Connection {
+    conn: Conn,
+    /// Its number, for the log.
+    number: u64,
+    address: SocketAddr,
+}
+
+/// A connection that no call uses.
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+}
+
 /// The fence that a call was sent under.
 #[derive(Clone, Copy, Debug)]
 struct SentFence {
@@ -124,6 +137,15 @@
         }
     }
 
+    /// Removes a call that has ended. Returns false if it was cancelled before.
+    fn finish(&mut self, handle: Handle, attempt: u32) -> bool {
+        let was_in_progress = self.is_in_progress(handle, attempt);
+        if was_in_progress {
+            self.in_progress.remove(&handle);
+        }
+        was_in_progress
+    }
+
     /// Whether the call is in progress and was not cancelled.
     fn is_in_progress(&self, handle: Handle, attempt: u32) -> bool {
         self.in_progress.get(&handle).is_some_and(|(current, _)| *current == attempt)
@@ -149,7 +171,8 @@
     /// Carries out an order without waiting.
     pub fn send(&self, order: Order) {
         match order {
-            Order::Ask { handle, attempt, fresh, earlier_replies, timeout, body, route } => {
+            Order::Ask { ask: id, fresh, earlier_replies, timeout, body, route } => {
+                let (handle, attempt) = (id.handle, id.attempt);
                 let mut pool = lock(&self.pool);
                 let has_room = pool.in_progress.len() < self.hub.max_calls();
                 if has_room {
@@ -159,13 +182,15 @@
                 }
                 drop(pool);
                 let started = Instant::now();
-                let ask = Ask { handle, attempt, fresh, earlier_replies, timeout, body, route, started };
+                let ask = Ask { id, fresh, earlier_replies, timeout, body, route, started };
                 let (hub, pool) = (self.hub.clone(), self.pool.clone());
                 spawn(move || {
-                    let (end, reply, fence) = match has_room {
+                    let result = match has_room {
                         true => CallTask { hub: &hub, pool: &pool }.call(ask),
-                        false => (End::Refused, None, None),
+                        false => CallResult::unwritten(End::Refused),
                     };
+                    result.log(&hub, id, started);
+                    let CallResult { end, reply, fence, .. } = result;
                     hub.push(Input::CallEnded { handle, attempt, end, reply, fence });
                 });
             }
@@ -191,8 +216,7 @@
 
 /// A call to be made.
 struct Ask {
-    handle: Handle,
-    attempt: u32,
+    id: AskId,
     fresh: bool,
     earlier_replies: Arc<[ReplyDigest]>,
     /// How long the call may take, counted from `started`.
@@ -217,6 +241,37 @@
     }
 }
 
+/// How a call ended.
+struct CallResult {
+    end: End,
+    reply: Option<CallReply>,
+    /// The fence that it was sent under. `None` if the call is known not to have run, because the connection broke
+    /// before it was written or because it was returned unexecuted.
+    fence: Option<Fence>,
+    /// The number of the connection that it was written on, if it was written.
+    connection: Option<u64>,
+    /// It was cancelled before it ended.
+    is_cancelled: bool,
+}
+
+impl CallResult {
+    /// A call that ended before it was written.
+    fn unwritten(end: End) -> Self {
+        let is_cancelled = end == End::Cancelled;
+        Self { end, reply: None, fence: None, connection: None, is_cancelled }
+    }
+
+    /// Logs an end without a reply for the run. A reply is logged when it is written.
+    fn log(&self, hub: &Hub, ask: AskId, started: Instant) {
+        if self.reply.is_some() && !self.is_cancelled {
+            return;
+        }
+        let (connection, end, is_cancelled) = (self.connection, self.end, self.is_cancelled);
+        let elapsed = started.elapsed();
+        hub.call_log.record(CallEvent::Ended { ask, connection, end, is_cancelled, elapsed });
+    }
+}
+
 /// The reply to a call.
 struct Reply {
     end: End,
@@ -238,8 +293,7 @@
 
 /// A connected call that is ready to be written.
 struct Ready {
-    conn: Conn,
-    address: SocketAddr,
+    connection: Connection,
     epoch: u64,
     fence: Option<Fence>,
     /// The fence of an earlier call of the request, if known here.
@@ -253,25 +307,21 @@
 }
 
 impl CallTask<'_> {
-    /// Makes the call. Returns how it ended, its reply, and the fence that it was sent under. There is no fence if the
-    /// call is known not to have run, because the connection broke before it was written or because it was returned
-    /// unexecuted.
-    fn call(&self, mut ask: Ask) -> (End, Option<Bytes>, Option<Fence>) {
-        let Ready { mut conn, address, epoch, fence, previous } = match self.connect(&mut ask) {
+    /// Makes the call.
+    fn call(&self, mut ask: Ask) -> CallResult {
+        let AskId { handle, attempt, .. } = ask.id;
+        let Ready { mut connection, epoch, fence, previous } = match self.connect(&mut ask) {
             Ok(ready) => ready,
             Err(end) => {
-                let mut pool = lock(self.pool);
-                if pool.is_in_progress(ask.handle, ask.attempt) {
-                    pool.in_progress.remove(&ask.handle);
-                }
-                return (end, None, None);
+                lock(self.pool).finish(handle, attempt);
+                return CallResult::unwritten(end);
             }
         };
-        let mut link = LinkReader::new(conn.clone());
+        let mut link = LinkReader::new(connection.conn.clone());
         // A routed call may have waited for a switch to pass: it is sent with the time that is left.
         let timeout = if fence.is_some() { ask.time_left() } else { ask.timeout };
-        let result = match conn.write_all(&encode_ask(ask.handle, timeout, &ask.body, fence)) {
-            Ok(()) => match self.read_reply(&mut link, &ask) {
+        let result = match connection.conn.write_all(&encode_ask(handle, timeout, &ask.body, fence)) {
+            Ok(()) => match self.read_reply(&mut link, &ask, connection.number) {
                 // Only a service whose calls are routed may reply `stale`.
                 Ok(Reply { end: End::Stale, .. }) if fence.is_none() => Err(End::Malformed),
                 result => result,
@@ -279,57 +329,60 @@
             Err(e) => Err(if is_timeout(&e) { End::Stalled } else { End::Broken }),
         };
         let mut pool = lock(self.pool);
-        if pool.is_in_progress(ask.handle, ask.attempt) {
-            pool.in_progress.remove(&ask.handle);
-        }
+        let is_cancelled = !pool.finish(handle, attempt);
         // A connection is not reused if anything but the reply arrived on it, or if the reply could not be read.
         let has_room = pool.idle.len() < MAX_IDLE.0.min(self.hub.max_calls() / MAX_IDLE.1);
         let is_clean = result.as_ref().is_ok_and(|reply| !reply.followed_strays) && link.lines.is_empty();
+        let number = connection.number;
         if is_clean && pool.epoch == epoch && has_room {
-            pool.idle.push((conn, address, Instant::now()));
+            pool.idle.push(IdleConnection { connection, since: Instant::now() });
         } else {
-            conn.shutdown(Shutdown::Both);
+            connection.conn.shutdown(Shutdown::Both);
         }
         let (end, reply) = result.map_or_else(|end| (end, None), |reply| (reply.end, reply.body));
         let may_have_run = !end.outcome().never_ran();
         if !may_have_run {
-            pool.restore_fence(ask.handle, ask.attempt, previous);
+            pool.restore_fence(handle, attempt, previous);
         }
         drop(pool);
         if let Some(routing) = self.hub.routing.as_ref().filter(|_| end == End::Stale) {
             routing.count_stale();
         }
-        (end, reply, fence.filter(|_| may_have_run))
+        CallResult {
+            end,
+            reply: reply.map(|body| CallReply::read(ask.id, number, body)),
+            fence: fence.filter(|_| may_have_run),
+            connection: Some(number),
+            is_cancelled,
+        }
     }
 
     /// Routes the call and connects to its target. The call is routed again once the connection exists, immediately
     /// before it is written: connecting takes time, during which the routes may switch or a lease may end.
     fn connect(&self, ask: &mut Ask) -> Result<Ready, End> {
+        let AskId { handle, attempt, .. } = ask.id;
         let mut wait_budget = MAX_SWITCH_WAIT;
         let mut target = self.route_call(ask, &mut wait_budget)?;
         for _ in 0..MAX_ROUTINGS {
             let address = target.address.or_else(|| self.hub.links().vault).ok_or(End::Refused)?;
-            let connected = take_or_connect(self.pool, address, ask.fresh, ask.time_left());
-            let (conn, epoch) = connected.ok_or(End::Refused)?;
-            match lock(self.pool)
-                .in_progress
-                .get_mut(&ask.handle)
-                .filter(|(current, _)| *current == ask.attempt)
-            {
+            let connected = self.take_or_connect(address, ask.fresh, ask.time_left());
+            let (connection, epoch) = connected.ok_or(End::Refused)?;
+            let conn = &connection.conn;
+            match lock(self.pool).in_progress.get_mut(&handle).filter(|(current, _)| *current == attempt) {
                 Some((_, slot)) => *slot = Some(conn.clone()),
                 // The call was cancelled before it was made.
                 None => return Err(End::Cancelled),
             }
             let Some(fence) = target.fence else {
                 if !conn.is_open_and_idle() {
-                    self.discard(&conn);
+                    self.discard(ask.id, &connection);
                     continue;
                 }
-                return Ok(Ready { conn, address, epoch, fence: None, previous: None });
+                return Ok(Ready { connection, epoch, fence: None, previous: None });
             };
             let now = self.route_call(ask, &mut wait_budget)?;
             if !conn.is_open_and_idle() {
-                self.discard(&conn);
+                self.discard(ask.id, &connection);
                 target = now;
                 continue;
             }
@@ -338,18 +391,17 @@
                 let mut pool = lock(self.pool);
                 // The fence is recorded before the call is sent, unless the call was cancelled in the meantime: then a
                 // later call of the same request may be in progress.
-                if !pool.is_in_progress(ask.handle, ask.attempt) {
+                if !pool.is_in_progress(handle, attempt) {
                     return Err(End::Cancelled);
                 }
-                let previous = pool.record_fence(ask.handle, ask.attempt, fence, ask.deadline());
+                let previous = pool.record_fence(handle, attempt, fence, ask.deadline());
                 drop(pool);
                 // The reducer receives the limits of this version before the end of the call, because they decide what
                 // happens after that.
                 if ask.route.as_ref().is_some_and(|call| call.limits != now.limits) {
-                    let (handle, attempt, limits) = (ask.handle, ask.attempt, now.limits);
-                    self.hub.push(Input::CallRouteChanged { handle, attempt, limits });
+                    self.hub.push(Input::CallRouteChanged { handle, attempt, limits: now.limits });
                 }
-                return Ok(Ready { conn, address, epoch, fence: target.fence, previous });
+                return Ok(Ready { connection, epoch, fence: target.fence, previous });
             }
             conn.shutdown(Shutdown::Both);
             target = now;
@@ -360,28 +412,32 @@
 
     /// Closes a connection that has ended, or on which bytes arrived before the call was written: these cannot be its
     /// reply.
-    fn discard(&self, conn: &Conn) {
-        if conn.has_unread() {
+    fn discard(&self, ask: AskId, connection: &Connection) {
+        if connection.conn.has_unread() {
+            self.hub.call_log.record(CallEvent::EarlyBytes { ask, connection: connection.number });
             self.hub.push(Input::StrayReply);
         }
-        conn.shutdown(Shutdown::Both);
+        connection.conn.shutdown(Shutdown::Both);
     }
 
     /// Reads until the reply to the call arrives. Replies to other requests and copies of earlier replies are skipped
     /// and counted as stray.
-    fn read_reply(&self, link: &mut LinkReader, ask: &Ask) -> Result<Reply, End> {
+    fn read_reply(&self, link: &mut LinkReader, ask: &Ask, connection: u64) -> Result<Reply, End> {
         link.set_deadline(ask.deadline());
         let mut parser = ReplyParser::default();
         let mut followed_strays = false;
         loop {
             match parser.next_reply(&mut link.lines)? {
                 Some((handle, end, body))
-                    if handle == ask.handle && !ask.is_earlier_reply(body.as_deref()) =>
+                    if handle == ask.id.handle && !ask.is_earlier_reply(body.as_deref()) =>
                 {
                     return Ok(Reply { end, body, followed_strays });
                 }
-                Some(_) => {
+                Some((handle, end, body)) => {
                     followed_strays = true;
+                    let digest = body.map(|body| ReplyDigest::of(&body));
+                    let ignored = CallEvent::Ignored { ask: ask.id, connection, handle, end, digest };
+                    self.hub.call_log.record(ignored);
                     self.hub.push(Input::StrayReply);
                 }
                 None => link.read_more()?,
@@ -389,13 +445,38 @@
         }
     }
 
+    /// Takes an idle connection to an address out of the pool, or opens a new one. Returns it with the pool's epoch.
+    fn take_or_connect(
+        &self,
+        address: SocketAddr,
+        fresh: bool,
+        timeout: Duration,
+    ) -> Option<(Connection, u64)> {
+        let (epoch, taken) = {
+            let mut pool = lock(self.pool);
+            pool.idle.retain(|idle| idle.since.elapsed() < IDLE_LIFETIME);
+            let is_usable = |idle: &IdleConnection| {
+                idle.connection.address == address && idle.connection.conn.is_open_and_idle()
+            };
+            let index = pool.idle.iter().rposition(|idle| !fresh && is_usable(idle));
+            (pool.epoch, index.map(|index| pool.idle.remove(index).connection))
+        };
+        if let Some(connection) = taken {
+            return Some((connection, epoch));
+        }
+        let conn = Conn::connect(address, CONNECT_TIMEOUT.min(timeout), WRITE_TIMEOUT)
+            .map_err(|e| debug!("cannot connect to the dependency: {e}"))
+            .ok()?;
+        Some((Connection { conn, number: self.hub.new_call_connection(), address }, epoch))
+    }
+
     /// Routes the call. During a switch of the routes it waits, for no longer than `wait_budget` over all routings.
     fn route_call(&self, ask: &mut Ask, wait_budget: &mut Duration) -> Result<Target, End> {
         let Some(routing) = &self.hub.routing else { return Ok(Target::default()) };
         // Without these properties nothing is known about earlier calls of the request.
         let Some(call) = &mut ask.route else { return Err(End::Barred) };
         call.last_fence =
-            lock(self.pool).sent_fences.get(&ask.handle).map(|sent| sent.fence).or(call.last_fence);
+            lock(self.pool).sent_fences.get(&ask.id.handle).map(|sent| sent.fence).or(call.last_fence);
         loop {
             match routing.route(call) {
                 RouteDecision::Allowed { fence, address, timeout, limits } => {
@@ -420,30 +501,5 @@
     }
 }
 
-/// Takes an idle connection to an address out of the pool, or opens a new one. Returns it with the pool's epoch.
-fn take_or_connect(
-    pool: &Mutex<Pool>,
-    address: SocketAddr,
-    fresh: bool,
-    timeout: Duration,
-) -> Option<(Conn, u64)> {
-    let (epoch, taken) = {
-        let mut pool = lock(pool);
-        pool.idle.retain(|(_, _, since)| since.elapsed() < IDLE_LIFETIME);
-        let is_usable = |index: usize, pool: &Pool| {
-            pool.idle[index].1 == address && pool.idle[index].0.is_open_and_idle()
-        };
-        let index = (0..pool.idle.len()).rev().find(|index| !fresh && is_usable(*index, &pool));
-        (pool.epoch, index.map(|index| pool.idle.remove(index).0))
-    };
-    let conn = match taken {
-        Some(conn) => conn,
-        None => Conn::connect(address, CONNECT_TIMEOUT.min(timeout), WRITE_TIMEOUT)
-            .map_err(|e| debug!("cannot connect to the dependency: {e}"))
-            .ok()?,
-    };
-    Some((conn, epoch))
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/vault/tests.rs
+++ b/src/net/vault/tests.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// An attempt at the first call of the request [`REQUEST`].
+fn ask(attempt: u32) -> AskId {
+    AskId { handle: REQUEST.parse().unwrap(), cursor: 1, attempt }
+}
+
 fn fence(turn: u64) -> Fence {
     Fence { turn, version: turn * 10 }
 }
@@ -77,11 +82,9 @@
     }
 
     fn ask(&self, attempt: u32, fresh: bool, timeout: Duration) {
-        let handle = "00000000000000aa".parse().unwrap();
         let route = Some(Box::default());
         self.link.send(Order::Ask {
-            handle,
-            attempt,
+            ask: ask(attempt),
             fresh,
             earlier_replies: Arc::from([]),
             timeout,
@@ -262,13 +265,16 @@
     let link = Link::start(&hub);
     let mut last = None;
     for attempt in [1, 2] {
-        let (handle, route) = (REQUEST.parse().unwrap(), Some(Box::default()));
+        let (ask, route) = (ask(attempt), Some(Box::default()));
         let earlier_replies = last.iter().map(|reply: &Bytes| ReplyDigest::of(reply)).collect();
         let (timeout, body) = (TIMEOUT, [b'x'].into());
-        link.send(Order::Ask { handle, attempt, fresh: true, earlier_replies, timeout, body, route });
+        link.send(Order::Ask { ask, fresh: true, earlier_replies, timeout, body, route });
         last = loop {
             match inbox.recv_timeout(TIMEOUT) {
-                Ok(Input::CallEnded { reply, .. }) => break reply,
+                Ok(Input::CallEnded { reply, .. }) => {
+                    assert!(reply.iter().all(|reply| reply.origin.ask == ask), "{reply:?}");
+                    break reply.map(|reply| reply.body);
+                }
                 Ok(Input::StrayReply) => {}
                 other => panic!("{other:?}"),
             }
@@ -332,9 +338,9 @@
         Some(address),
     );
     let link = Link::start(&hub);
-    let (handle, route) = (REQUEST.parse().unwrap(), Some(Box::default()));
+    let (ask, route) = (ask(1), Some(Box::default()));
     let (earlier_replies, body) = (Arc::from([]), [b'x'].into());
-    link.send(Order::Ask { handle, attempt: 1, fresh: true, earlier_replies, timeout: TIMEOUT, body, route });
+    link.send(Order::Ask { ask, fresh: true, earlier_replies, timeout: TIMEOUT, body, route });
     let mut strays = 0;
     loop {
         match inbox.recv_timeout(TIMEOUT) {
@@ -355,9 +361,9 @@
     }
     let (hub, inbox) = test_hub(None, Some(scripted(vec![then])));
     let link = Link::start(&hub);
-    let (handle, earlier_replies) = (REQUEST.parse().unwrap(), Arc::from([ReplyDigest::of(b"one")]));
+    let (ask, earlier_replies) = (ask(2), Arc::from([ReplyDigest::of(b"one")]));
     let (timeout, body) = (Duration::from_millis(300), [b'x'].into());
-    link.send(Order::Ask { handle, attempt: 2, fresh: true, earlier_replies, timeout, body, route: None });
+    link.send(Order::Ask { ask, fresh: true, earlier_replies, timeout, body, route: None });
     assert!(matches!(inbox.recv_timeout(TIMEOUT), Ok(Input::StrayReply)));
     assert!(matches!(inbox.recv_timeout(TIMEOUT), Ok(Input::CallEnded { end: End::Overdue, .. })));
 }
--- a/tests/core/bench.rs
+++ b/tests/core/bench.rs
@@ -180,6 +180,11 @@
     Verdict::Served(Arc::from(result))
 }
 
+/// The reply to an attempt at the call that the notice `cursor` requested, as it is read from the dependency.
+pub fn reply_to(handle: Handle, cursor: u64, attempt: u32, body: &[u8]) -> CallReply {
+    CallReply::read(AskId { handle, cursor, attempt }, 1, Arc::from(body))
+}
+
 /// How often the effects launch this request.
 pub fn launches_of(effects: &[Effect], handle: Handle) -> usize {
     let is_launch = |e: &&Effect| matches!(e, Effect::Agent { command: Command::Launch { handle: h, .. }, .. } if *h == handle);
--- a/tests/core/calls.rs
+++ b/tests/core/calls.rs
@@ -25,7 +25,7 @@
 
 fn end_call(bench: &mut Bench, at: u64, handle: Handle, end: End, reply: Option<&[u8]>) -> Vec<Effect> {
     let (attempt, _) = last_call(bench);
-    let reply = reply.map(Arc::from);
+    let reply = reply.map(|reply| reply_to(handle, 0, attempt, reply));
     bench.step(at, [Input::CallEnded { handle, attempt, end, reply, fence: None }])
 }
 
--- a/tests/core/lost_link.rs
+++ b/tests/core/lost_link.rs
@@ -27,7 +27,8 @@
         Effect::Call { attempt, .. } => Some(*attempt),
         _ => None,
     });
-    let (attempt, reply) = (attempt.unwrap(), Some(Arc::from(*b"reply")));
+    let attempt = attempt.unwrap();
+    let reply = Some(reply_to(run, 7, attempt, b"reply"));
     bench.step(30, [Input::CallEnded { handle: run, attempt, end: End::Complete, reply, fence: None }]);
     (bench, run)
 }
@@ -234,7 +235,7 @@
     }
     assert!(bench.answers(1).is_empty(), "its run may have received the reply");
     bench.notice(100, Notice::CallNeeded { handle: run, cursor: 9, body: Arc::from(*b"next") });
-    let reply = Some(Arc::from(*b"next reply"));
+    let reply = Some(reply_to(run, 9, 2, b"next reply"));
     bench.step(110, [Input::CallEnded { handle: run, attempt: 2, end: End::Complete, reply, fence: None }]);
     assert_eq!(deliveries(&bench.effects), 2, "the run has received the first one");
     bench.complete(120, run, b"made");
@@ -275,7 +276,7 @@
     let run = bench.send(10, "lobby-confirm", Some("k"));
     bench.notice(20, Notice::CallNeeded { handle: run, cursor: 7, body: Arc::from(*b"ask") });
     bench.break_link(25);
-    let reply = Some(Arc::from(*b"reply"));
+    let reply = Some(reply_to(run, 7, 1, b"reply"));
     bench.step(30, [Input::CallEnded { handle: run, attempt: 1, end: End::Complete, reply, fence: None }]);
     assert_eq!(deliveries(&bench.effects), 0);
     let resent = [bench.open_link(40), bench.sync(41)].concat();
@@ -289,7 +290,7 @@
     let run = bench.send(10, "queue-status", None);
     bench.notice(20, Notice::CallNeeded { handle: run, cursor: 7, body: Arc::from(*b"one") });
     let notice = Notice::CallNeeded { handle: run, cursor: 9, body: Arc::from(*b"two") };
-    let reply = Some(Arc::from(*b"reply one"));
+    let reply = Some(reply_to(run, 7, 1, b"reply one"));
     let ended = Input::CallEnded { handle: run, attempt: 1, end: End::Complete, reply, fence: None };
     let next = Input::Agent { link: bench.link, notice };
     bench.step(30, [next, ended]);
@@ -303,7 +304,7 @@
     let (mut bench, run) = run_with_reply_sent("queue-status", None);
     bench.notice(40, Notice::CallNeeded { handle: run, cursor: 9, body: Arc::from(*b"two") });
     for _ in 0..2 {
-        let reply = Some(Arc::from(*b"reply"));
+        let reply = Some(reply_to(run, 9, attempt, b"reply"));
         bench.step(41, [Input::CallEnded { handle: run, attempt, end: End::Complete, reply, fence: None }]);
     }
     assert_eq!(deliveries(&bench.effects), 1 + delivered);
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -152,7 +152,7 @@
     let first = bench.send(10, "lobby-confirm", Some("k"));
     bench.notice(20, need(first, 1));
     let attempt = last_attempt(&bench.effects);
-    let reply: Bytes = Arc::from(*b"reply");
+    let reply = reply_to(first, 1, attempt, b"reply");
     bench.step(
         25,
         [Input::CallEnded {
@@ -163,7 +163,7 @@
             fence: None,
         }],
     );
-    assert!(sends(&bench.effects, &Command::Deliver { handle: first, cursor: 1, arg: reply }));
+    assert!(sends(&bench.effects, &Command::Deliver { handle: first, cursor: 1, reply }));
 
     let second = bench.send(30, "queue-prefs", None);
     bench.notice(40, need(second, 7));
@@ -307,7 +307,7 @@
                 10 if !calls.is_empty() => {
                     let (handle, attempt) = calls.swap_remove(rng.roll(calls.len() as u64) as usize);
                     let end = [End::Complete, End::NotNow, End::Overdue, End::Broken][rng.roll(4) as usize];
-                    let reply = (end == End::Complete).then(|| Arc::from(*b"y"));
+                    let reply = (end == End::Complete).then(|| reply_to(handle, cursor, attempt, b"y"));
                     bench.step(at, [Input::CallEnded { handle, attempt, end, reply, fence: None }]);
                 }
                 11 if rng.roll(6) == 0 => {
--- a/tests/core/stop.rs
+++ b/tests/core/stop.rs
@@ -70,7 +70,7 @@
     fn end_call(&mut self) {
         let Some((handle, attempt)) = self.rng.pick(&self.calls) else { return };
         self.calls.retain(|call| *call != (handle, attempt));
-        let reply = Some(Arc::from(*b"reply"));
+        let reply = Some(reply_to(handle, self.cursor, attempt, b"reply"));
         let input = Input::CallEnded { handle, attempt, end: End::Complete, reply, fence: None };
         self.bench.step(self.now, [input]);
     }
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -4,6 +4,7 @@
 
 mod admin;
 mod appliance;
+mod asks;
 mod authority;
 mod clock;
 mod closing;
--- a/tests/program/payloads.rs
+++ b/tests/program/payloads.rs
@@ -167,9 +167,10 @@
 fn a_prefix_of_a_command_is_never_a_command() {
     // A link may break in the middle of a line: no prefix of a command is valid JSON, so that an agent that takes the
     // rest of the link for a line reads no command.
-    use hopwalk::core::{Command, LinkId};
+    use hopwalk::core::{AskId, CallReply, Command, LinkId};
     use hopwalk::net::agent::encode;
     let handle = "00000000000000ff".parse().unwrap();
+    let ask = AskId { handle, cursor: 1, attempt: 1 };
     let commands = [
         Command::Launch {
             handle,
@@ -177,7 +178,7 @@
             arg: bodies()[1].clone().into(),
             timeout: std::time::Duration::from_secs(1),
         },
-        Command::Deliver { handle, cursor: 1, arg: bodies()[4].clone().into() },
+        Command::Deliver { handle, cursor: 1, reply: CallReply::read(ask, 1, bodies()[4].clone().into()) },
         Command::Forgo { handle, cursor: 12_345 },
         Command::Freeze { handle },
         Command::Sample { ticket: 12 },
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hopwalk::core::{
-    Answer, Bytes, Command, Handle, Key, KeyState, LinkId, Notice, Request, Succession, Verdict,
+    Answer, AskId, Bytes, CallReply, Command, Handle, Key, KeyState, LinkId, Notice, Request, Succession,
+    Verdict,
 };
 use hopwalk::net::decoder::MessageDecoder;
 use hopwalk::net::fields::{Message, Parsed};
@@ -157,7 +158,8 @@
     fn a_notice_body_is_decoded_as_sent(handle in handle(), cursor in 1u64..1 << 53, body in bytes(4096)) {
         // The encoder for commands to the agent provides the base64 text of the notice.
         let mut out = String::new();
-        agent::encode(LinkId(1), &Command::Deliver { handle, cursor, arg: body.clone() }, &mut out);
+        let reply = CallReply::read(AskId { handle, cursor, attempt: 1 }, 1, body.clone());
+        agent::encode(LinkId(1), &Command::Deliver { handle, cursor, reply }, &mut out);
         let line = out.replace("\"deliver\"", &format!("\"request\",\"cursor\":{cursor}"));
         let (number, notice) = agent::parse(line.trim_end()).unwrap();
         prop_assert_eq!(number, Some(cursor));
