Make no further ask of a request while a reply to an earlier one may come

Cause: a reply on the vault's wire names its request, not its ask. core/call_history guarded a run's next call against replies to earlier calls, but not the next attempt at the same call: after an attempt that timed out, broke, or got noise, an idempotent call was asked again, and the late reply to the first ask, over whatever connection, was taken for that to the second. The same behind a status line: a copy of the first ask's notnow ended the second, and the third took the second's reply. By PROTOCOL a second call gives up the first, so that reply was made for an ask that is no more.

Change: the history has one rule for every ask, of the same call or of a later one: none is made once an ask ended without a reply that is known to be its own. The module is told whether a call may be repeated; where unanswered calls are not repeated (the vault; not SCGI, whose calls have connections of their own, and not the simulator, whose wire names its calls) an ask gets all the time that is left in place of a learned timeout, as no second one follows. The reducer guards it: a further ask that the module orders is a violation and is not made.

--- a/src/bin/hopwalk-adapter/wire.rs
+++ b/src/bin/hopwalk-adapter/wire.rs
@@ -172,6 +172,7 @@
             id: p.need("id")?,
             outcome: p.outcome()?,
             took: p.time("delay_seen_us")?.unwrap_or_default(),
+            may_repeat: true,
         },
         "retire_soon" => {
             Event::Drain { age: Duration::ZERO, stop_at: Duration::from_micros(p.need("not_after_us")?) }
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -4,7 +4,7 @@
 
 use super::call_history::CallHistory;
 use super::types::*;
-use super::{CallReply, Core, End, Phase, Timer};
+use super::{ActiveRequest, CallReply, Core, End, Phase, Timer};
 use crate::interface::{Event, Outcome, Repeat, RequestId};
 
 /// A call that the vault has not ended is cancelled this long after its timeout.
@@ -49,6 +49,7 @@
     /// Declares that each call to the dependency has a connection of its own, which carries nothing else.
     pub fn use_dedicated_call_connections(&mut self) {
         self.has_dedicated_call_connections = true;
+        self.engine.reconfigure(self.module_settings(), &[]);
     }
 
     /// Handles a run's request for a call.
@@ -64,18 +65,23 @@
         request.pending = None;
         request.phase = Phase::AtCall;
         (request.call.cursor, request.call.body) = (cursor, body);
-        request.call.history.begin_call();
         if request.is_orphan {
             return self.continue_without_call(now, id);
         }
-        if !self.has_dedicated_call_connections && !request.call.history.allows_call() {
+        if !self.may_ask(id) {
             return self.skip_ambiguous_call(now, id);
         }
         self.update_call_limits(id);
         self.events.push_back(Event::CallNeeded { id });
     }
 
-    /// Skips a call whose reply could not be distinguished from a late reply to an earlier call.
+    /// Whether the reply to a further ask of a request could be distinguished from late replies to its earlier ones.
+    fn may_ask(&self, id: RequestId) -> bool {
+        let allows_ask = |request: &ActiveRequest| request.call.history.allows_ask();
+        self.has_dedicated_call_connections || self.requests.get(&id).is_some_and(allows_ask)
+    }
+
+    /// Skips a call whose reply could not be distinguished from a late reply to an earlier ask.
     fn skip_ambiguous_call(&mut self, now: Duration, id: RequestId) {
         self.counters.calls_ambiguous += 1;
         self.continue_without_call(now, id);
@@ -85,10 +91,17 @@
     }
 
     pub(super) fn make_call(&mut self, now: Duration, id: RequestId, timeout: Duration) {
+        let is_allowed = self.may_ask(id);
         let Some(request) = self.requests.get_mut(&id).filter(|request| request.phase == Phase::AtCall)
         else {
             return;
         };
+        if !is_allowed {
+            self.counters.violations += 1;
+            let text = format!("violation: a further ask was not made: {}", request.handle);
+            self.effects.push(Effect::Log(text));
+            return self.skip_ambiguous_call(now, id);
+        }
         self.last_attempt = self.last_attempt.wrapping_add(1);
         request.call.attempt = self.last_attempt;
         request.call.began = Some(now);
@@ -157,7 +170,8 @@
         if outcome.never_ran() {
             self.update_call_limits(id);
         }
-        self.events.push_back(Event::CallEnded { id, outcome, took: now.saturating_sub(began) });
+        let (took, may_repeat) = (now.saturating_sub(began), self.may_ask(id));
+        self.events.push_back(Event::CallEnded { id, outcome, took, may_repeat });
     }
 
     /// Continues a run without its call.
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -41,7 +41,7 @@
     pub calls_made: u64,
     /// Calls skipped.
     pub calls_skipped: u64,
-    /// Calls that were not made because their reply could not be distinguished from a late reply to an earlier call.
+    /// Calls that were not made because their reply could not be distinguished from a late reply to an earlier ask.
     pub calls_ambiguous: u64,
     /// Replies from the dependency that were ignored: copies of earlier ones, or replies to other requests.
     pub stray_replies: u64,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -153,7 +153,8 @@
     /// # Errors
     /// [`CoreError`] if the decision module cannot use the settings.
     pub fn new(site: Site, seed: u64, stop_after: Duration, now: Duration) -> Result<Self, CoreError> {
-        let settings = shutdown::with_grace_from_reading(site.settings.clone());
+        let mut settings = shutdown::with_grace_from_reading(site.settings.clone());
+        settings.repeats_unanswered_calls = false;
         let engine = DecisionEngine::new(settings, seed, now)?;
         let mut core = Self {
             engine,
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -176,6 +176,7 @@
     pub(super) fn module_settings(&self) -> Settings {
         let mut settings = shutdown::with_grace_from_reading(self.site.settings.clone());
         settings.call_share *= if self.peer.is_running { 0.5 } else { 1.0 };
+        settings.repeats_unanswered_calls = self.has_dedicated_call_connections;
         settings
     }
 
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -200,7 +200,9 @@
                 self.set_phase(id, Phase::AwaitingCall);
                 self.waiting_calls.insert((now, id));
             }
-            Event::CallEnded { id, outcome, took } => self.on_call_ended(id, outcome, took, actions),
+            Event::CallEnded { id, outcome, took, may_repeat } => {
+                self.on_call_ended(id, outcome, took, may_repeat, actions);
+            }
             Event::RouteStates(states) => self.route_states = states,
             Event::CallLimits { id, limits } => {
                 self.requests.get_mut(&id).into_iter().for_each(|r| r.limits = Some(limits));
--- a/src/decisions/calls.rs
+++ b/src/decisions/calls.rs
@@ -131,6 +131,7 @@
         id: RequestId,
         outcome: Outcome,
         took: Duration,
+        may_repeat: bool,
         actions: &mut Vec<Action>,
     ) {
         let calling = self.requests.get(&id).filter(|r| r.phase == Phase::Calling);
@@ -153,7 +154,7 @@
         // again.
         let harmless = tries_left && self.settings.classes[r.class].repeat == Repeat::Idempotent && !stale;
         let never_ran = outcome.never_ran() && (tries_left || r.limits.is_none());
-        if (never_ran || harmless) && ready_at < r.target_at {
+        if may_repeat && (never_ran || harmless) && ready_at < r.target_at {
             self.waiting_calls.insert((ready_at, id));
         } else {
             self.skip_or_fail(id, may_skip && !stale, actions);
@@ -189,7 +190,9 @@
             // A new version of the routes may allow fewer tries than were already made.
             let spent = r.limits.is_some() && r.call_tries >= self.call_limits(r).0;
             // A call without a reply is made again where that does no harm; the last try gets all the time left.
-            let again = class.repeat == Repeat::Idempotent && r.call_tries + 1 < self.call_limits(r).0;
+            let again = self.settings.repeats_unanswered_calls
+                && class.repeat == Repeat::Idempotent
+                && r.call_tries + 1 < self.call_limits(r).0;
             let try_timeout =
                 Some(secs(self.calls.mean_s * CALL_TIMEOUT_DELAYS)).filter(|p| again && !p.is_zero());
             let timeout = left.min(try_timeout.unwrap_or(left)).max(TICK);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,6 +168,9 @@
     pub call_share_window: Duration,
     /// An abandoned call still occupies the dependency for this long.
     pub call_linger: Duration,
+    /// A call that got no reply may be made again where that does no harm: a late reply to the first attempt would be
+    /// told from the reply to the second.
+    pub repeats_unanswered_calls: bool,
     /// How long the answer to a read may be reused for repeats of it; zero means never.
     pub fresh_for: Duration,
     /// What the load signal means.
@@ -366,6 +369,9 @@
         outcome: Outcome,
         /// Time since the call was made.
         took: Duration,
+        /// The call may be made again, as far as its reply is concerned: it could be told from a late reply to this
+        /// attempt.
+        may_repeat: bool,
     },
     /// The route state of each class from now on, by the index of the class; further classes are open.
     RouteStates(Vec<RouteState>),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -117,6 +117,7 @@
             call_share: specifics.get("calls_out")?.optional(0.0, number)?,
             call_share_window: specifics.get("share_span_us")?.optional(Duration::ZERO, micros)?,
             call_linger: specifics.get("lingers_us")?.optional(Duration::ZERO, micros)?,
+            repeats_unanswered_calls: true,
             fresh_for: specifics.get("fresh_us")?.optional(Duration::ZERO, micros)?,
             signal: match keyword(specifics.get("say")?)?.as_str() {
                 "min_rank" => Signal::MinRank,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,7 @@
         over_share_worth: 1.0,
         call_share_window: ms(5_000),
         call_linger: ms(200),
+        repeats_unanswered_calls: true,
         answer_slack: ms(60),
         drain_grace: ms(1_000),
         max_load_per_core: 8.0,
--- a/tests/program/asks.rs
+++ b/tests/program/asks.rs
@@ -2,6 +2,12 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
 
 use crate::harness::*;
 use crate::scripted::{Listener, Peer};
@@ -50,6 +56,109 @@
     }
 }
 
+/// How the dependency ends an ask, so that the ask is given up while a reply to it may still arrive.
+#[derive(Clone, Copy, Debug)]
+enum AskEnd {
+    /// The connection breaks.
+    Broken,
+    /// A line arrives that is no reply.
+    Malformed,
+    /// The dependency reports that the ask ran out of time.
+    Overdue,
+}
+
+impl AskEnd {
+    fn perform(self, connection: &mut Peer, handle: &str) {
+        match self {
+            Self::Broken => connection.shut_down(),
+            Self::Malformed => connection.write("?\r\n"),
+            Self::Overdue => connection.write(format!("{handle} overdue\r\n")),
+        }
+    }
+}
+
+/// Answers each further ask with the reply to the first one, as a proxy does that keeps its calls by request.
+fn reply_late_to_further_asks(vault: Listener, handle: String) -> Arc<AtomicUsize> {
+    let asks = Arc::<AtomicUsize>::default();
+    let counted = asks.clone();
+    thread::spawn(move || loop {
+        let mut connection = vault.accept();
+        connection.read_call();
+        counted.fetch_add(1, Ordering::Relaxed);
+        connection.reply(&handle, b"reply to the first ask");
+    });
+    asks
+}
+
+#[rstest]
+fn a_reply_to_an_ask_that_was_given_up_is_not_delivered(
+    #[values(AskEnd::Broken, AskEnd::Malformed, AskEnd::Overdue)] end: AskEnd,
+) {
+    // Guards against a further ask of the same call, which would take the late reply to the first one for its own.
+    let mut fixture = Fixture::start();
+    let (handle, cursor) = fixture.start_call();
+    let mut connection = fixture.vault.accept();
+    connection.read_call();
+    let Fixture { program, mut link, vault, mut stream, .. } = fixture;
+    let further_asks = reply_late_to_further_asks(vault, handle.clone());
+    end.perform(&mut connection, &handle);
+    let command = link.expect_run_command("forgo");
+    assert_eq!((command.handle, command.cursor), (handle.clone(), cursor));
+    link.send_outcome(cursor + 1, &handle, "complete", b"made");
+    assert_eq!(read_answer(&mut stream).body, b"made");
+    assert_eq!(further_asks.load(Ordering::Relaxed), 0);
+    assert_eq!((program.counter("calls_made"), program.counter("violations")), (1, 0));
+}
+
+#[test]
+fn a_reply_to_an_ask_that_a_copy_of_a_status_line_ended_is_not_delivered() {
+    // Guards against a third ask that takes the reply to the second: a copy of the first ask's status ended the second.
+    let mut fixture = Fixture::start();
+    let (handle, cursor) = fixture.start_call();
+    for _ in 0..2 {
+        let mut connection = fixture.vault.accept();
+        connection.read_call();
+        connection.write(format!("{handle} notnow\r\n"));
+    }
+    let Fixture { program, mut link, vault, mut stream, .. } = fixture;
+    let further_asks = reply_late_to_further_asks(vault, handle.clone());
+    let command = link.expect_run_command("forgo");
+    assert_eq!((command.handle, command.cursor), (handle.clone(), cursor));
+    link.send_outcome(cursor + 1, &handle, "complete", b"made");
+    assert_eq!(read_answer(&mut stream).body, b"made");
+    assert_eq!(further_asks.load(Ordering::Relaxed), 0);
+    assert_eq!((program.counter("calls_made"), program.counter("violations")), (2, 0));
+}
+
+#[test]
+fn a_slow_call_is_not_asked_again_while_its_reply_may_arrive() {
+    // Guards against a timeout that is learned from fast calls, and a further ask that takes the late reply.
+    const FAST_CALLS: usize = 5;
+    /// Several times as long as a timeout that fast calls teach, and the pause before a further ask.
+    const SLOW_CALL: Duration = Duration::from_millis(600);
+    let mut fixture = Fixture::start();
+    for _ in 0..FAST_CALLS {
+        let (handle, _) = fixture.start_call();
+        let mut connection = fixture.vault.accept();
+        connection.read_call();
+        connection.reply(&handle, b"fast");
+        connection.shut_down();
+        fixture.link.expect_command_of_run("deliver", &handle);
+        fixture.finish(&handle);
+    }
+    let (handle, _) = fixture.start_call();
+    let mut connection = fixture.vault.accept();
+    connection.read_call();
+    let Fixture { program, mut link, vault, .. } = fixture;
+    let further_asks = reply_late_to_further_asks(vault, handle.clone());
+    let is_asked_again = || further_asks.load(Ordering::Relaxed) > 0;
+    assert!(!wait_until(SLOW_CALL, is_asked_again), "a further ask was made");
+    connection.reply(&handle, b"reply in time");
+    let command = link.expect_command_of_run("deliver", &handle);
+    assert_eq!((command.arg.as_slice(), further_asks.load(Ordering::Relaxed)), (&b"reply in time"[..], 0));
+    assert_eq!(program.counter("violations"), 0);
+}
+
 #[test]
 fn the_log_tells_for_which_ask_a_reply_was_read_and_as_which_command_it_was_written() {
     let mut fixture = Fixture::start();
