Take no reply that is read after the time of its ask

The vault was told how long the matcher waits, so by then the ask is given up.

Cause: net/lines read_more looked at the deadline before it waited, not after it had read.

Change: bytes that are read after the deadline end the ask as overdue; by the rule of call_history no further ask follows.

--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -122,7 +122,8 @@
         }
     }
 
-    /// Waits for more bytes and appends them to the decoder's buffer.
+    /// Waits for more bytes and appends them to the decoder's buffer. Bytes that are read after the deadline count as not
+    /// received, although they may have arrived before it: the process may have stood still.
     pub(super) fn read_more(&mut self) -> Result<(), End> {
         loop {
             if let Some(deadline) = self.deadline {
@@ -137,6 +138,9 @@
                     self.stream_end = Some(StreamEnd::EndOfFile);
                     return Err(End::Broken);
                 }
+                Ok(_) if self.deadline.is_some_and(|deadline| Instant::now() >= deadline) => {
+                    return Err(End::Overdue);
+                }
                 Ok(_) => return Ok(()),
                 Err(e) if is_timeout(&e) || e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => {
--- a/tests/program/asks.rs
+++ b/tests/program/asks.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
@@ -36,7 +36,11 @@
 
     /// Sends a request whose run requests a call. Returns its handle and the number of the notice.
     fn start_call(&mut self) -> (String, u64) {
-        self.stream.write_all(&Request::new("queue-status", b"a").http()).unwrap();
+        self.start_call_of(&Request::new("queue-status", b"a"))
+    }
+
+    fn start_call_of(&mut self, request: &Request) -> (String, u64) {
+        self.stream.write_all(&request.http()).unwrap();
         let handle = self.link.expect_run_command("launch").handle;
         let cursor = self.next_cursor();
         self.link.send_call(cursor, &handle, b"call");
@@ -130,6 +134,26 @@
     assert_eq!((program.counter("calls_made"), program.counter("violations")), (2, 0));
 }
 
+#[test]
+fn a_reply_that_is_read_after_the_time_of_its_ask_is_not_delivered() {
+    // Guards against a process that stood still and takes a reply to an ask that ran out of time meanwhile.
+    let mut fixture = Fixture::start();
+    let request = Request { timeout_ms: 4_500, ..Request::new("queue-status", b"a") };
+    let (handle, cursor) = fixture.start_call_of(&request);
+    let mut connection = fixture.vault.accept();
+    let (_, time_ms, _) = connection.read_call();
+    let asked = Instant::now();
+    fixture.program.pause();
+    connection.reply(&handle, b"late");
+    let is_over = || asked.elapsed() > Duration::from_millis(time_ms + 5);
+    assert!(wait_until(PATIENCE, is_over), "the ask is waited for {time_ms} ms");
+    fixture.program.resume();
+    let command = fixture.link.expect_run_command("forgo");
+    assert_eq!((command.handle, command.cursor), (handle.clone(), cursor));
+    fixture.finish(&handle);
+    assert_eq!((fixture.program.counter("call_overdue"), fixture.program.counter("violations")), (1, 0));
+}
+
 #[test]
 fn a_slow_call_is_not_asked_again_while_its_reply_may_arrive() {
     // Guards against a timeout that is learned from fast calls, and a further ask that takes the late reply.
