Remember what the asks of a request got when the request is sent again under its id

core::calls::a_request_sent_again_* (two) fail without it; the_asks_of_a_request_that_is_long_over_do_not_matter holds the other side.

--- a/src/core/arrivals.rs
+++ b/src/core/arrivals.rs
@@ -66,6 +66,7 @@
         self.counters.repeats += u64::from(repeats.is_some());
         let conn = request.conn;
         self.handles.insert(request.handle, id);
+        let call = CallState::new(self.past_asks.take(now, request.handle));
         let active = ActiveRequest {
             conn: Some(conn),
             handle: request.handle,
@@ -77,7 +78,7 @@
             repeats,
             waiters: Vec::new(),
             began: now,
-            call: CallState::default(),
+            call,
             route,
             pending: None,
             sent: SentCommands::default(),
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -204,6 +204,9 @@
             let key = key.clone();
             self.report_resolved_key(&key);
         }
+        if let Some(history) = request.call.into_history() {
+            self.past_asks.keep(now, request.handle, history);
+        }
         for waiter in request.waiters {
             self.end_join(now, waiter, result.clone());
         }
--- a/tests/core/calls.rs
+++ b/tests/core/calls.rs
@@ -175,3 +175,45 @@
     }
     assert_eq!((calls(&bench), bench.answers(1)), (101, vec![]), "{}", bench.core.counters());
 }
+
+/// Sends a request again under the handle of the first one, which is over; its run requests a call.
+fn send_again(bench: &mut Bench, at: u64, run: Handle) -> Vec<Effect> {
+    let Input::Request(mut request) = bench.request(at, "queue-status", None) else { unreachable!() };
+    request.handle = run;
+    bench.step(at, [Input::Request(request)]);
+    request_call(bench, at + 1, run, 20)
+}
+
+#[test]
+fn a_request_sent_again_makes_no_ask_while_a_reply_to_its_first_copy_may_arrive() {
+    // Guards against the late reply to an ask of the first copy: a reply names the id, which both copies have.
+    let (mut bench, run) = at_first_call("queue-status", None);
+    end_call(&mut bench, 30, run, End::Broken, None);
+    bench.advance_to(400);
+    bench.complete(410, run, b"made");
+    let sent = send_again(&mut bench, 420, run);
+    assert_eq!((calls(&bench), counter(&bench, "calls_ambiguous")), (1, 1));
+    assert!(sends(&sent, &Command::Forgo { handle: run, cursor: 20 }), "{sent:?}");
+}
+
+#[test]
+fn a_request_sent_again_ignores_copies_of_the_replies_to_its_first_copy() {
+    let (mut bench, run) = at_first_call("queue-status", None);
+    end_call(&mut bench, 30, run, End::Complete, Some(b"one"));
+    bench.complete(410, run, b"made");
+    send_again(&mut bench, 420, run);
+    assert_eq!((calls(&bench), last_call(&bench).1), (2, vec![ReplyDigest::of(b"one")]));
+    let is_fresh = |effect: &Effect| matches!(effect, Effect::Call { fresh: true, .. });
+    assert!(bench.effects.iter().rev().any(is_fresh), "its connection must be a new one");
+}
+
+#[test]
+fn the_asks_of_a_request_that_is_long_over_do_not_matter() {
+    let (mut bench, run) = at_first_call("queue-status", None);
+    end_call(&mut bench, 30, run, End::Broken, None);
+    bench.advance_to(400);
+    bench.complete(410, run, b"made");
+    bench.advance_to(10_500);
+    send_again(&mut bench, 10_500, run);
+    assert_eq!((calls(&bench), counter(&bench, "calls_ambiguous")), (2, 0));
+}
