Let threads stall in the soak, and judge a violation in a matcher's log as changed

The lab could stop a whole process (SIGSTOP), but not one thread between two lines. The shim has a further dial: reads, writes and waits, wake-ups too, around which the thread stands still for up to 5 ms; scenarios know stall_threads, and one of four blocks of 64 seeds of the soak (128-191, 384-447, ...) has it in all its matchers. The other seeds are as they were. A line with 'violation: ' in a matcher's log is in the history as changed.

--- a/src/lab/matcher.rs
+++ b/src/lab/matcher.rs
@@ -34,6 +34,9 @@
 /// A notice that went out this much later than planned puts its kill off by as much.
 const KILL_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// A matcher logs this where it withheld something that a rule forbids.
+const VIOLATION: &str = "violation: ";
+
 /// Takes a line of a matcher's log.
 pub(super) type Heard = Arc<dyn Fn(&str) + Send + Sync>;
 
@@ -120,6 +123,7 @@
         let (found, listening) = mpsc::channel();
         let (log, stderr, door) = (self.log.clone(), child.stderr.take(), self.door.clone());
         let heard = self.heard.clone();
+        let (name, recorder) = (self.name.clone(), history.clone());
         let mut kept = std::fs::File::create(dir.join("log.txt")).ok();
         thread::spawn(move || {
             let Some(stderr) = stderr else { return };
@@ -133,6 +137,10 @@
                     *door.lock().unwrap() = at.trim().parse().ok();
                 }
                 heard.iter().for_each(|heard| heard(&line));
+                if line.contains(VIOLATION) {
+                    let (by, handle) = (name.clone(), "-".to_string());
+                    recorder.record(Event::Changed { by, handle, what: format!("violation {line}") });
+                }
                 linked |= line.contains("linked to the agent");
                 if let (Some(at), true) = (http, linked) {
                     let _ = found.send(at);
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -15,7 +15,7 @@
 //! connections open and use them again until the matcher closes them. `site` sets `stop_ms`, `give_up_ms` and `every_effect`
 //! of the site that is served. With `agent.link_ms` the agents end each link by themselves, within so long; with `faulty_vault`
 //! replies from below come late, twice, out of order and over other connections; `busy` processes take processor time from the
-//! matchers.
+//! matchers. `stall_threads` stops a thread of a `target` for a few milliseconds around `rate` in a thousand of its system calls.
 
 use std::collections::HashMap;
 
@@ -431,6 +431,10 @@
                 let dials = read.into_iter().collect::<Result<Vec<_>, _>>()?;
                 FaultKind::System { target: process()?, dials }
             }
+            "stall_threads" => {
+                let rate = number(o, "rate", at, None)?.min(1000.0) as i64;
+                FaultKind::System { target: process()?, dials: vec![(Dial::Stall, rate)] }
+            }
             "clock" => {
                 let (forward, back) =
                     (number(o, "forward_ms", at, Some(0.0))?, number(o, "back_ms", at, Some(0.0))?);
--- a/src/lab/shim.rs
+++ b/src/lab/shim.rs
@@ -32,16 +32,18 @@
     Break,
     /// Accepts that fail as their client is gone: the connection is taken and closed.
     Abort,
+    /// Reads, writes and waits around which the thread stands still for a few milliseconds.
+    Stall,
 }
 
 impl Dial {
     /// The rates of faults that cost no caller its connection.
-    pub const RATES: [Self; 6] =
-        [Self::Accept, Self::Connect, Self::Interrupt, Self::Short, Self::Disk, Self::Break];
+    pub const RATES: [Self; 7] =
+        [Self::Accept, Self::Connect, Self::Interrupt, Self::Short, Self::Disk, Self::Break, Self::Stall];
 }
 
 /// How many dials there are.
-const DIALS: u64 = Dial::Abort as u64 + 1;
+const DIALS: u64 = Dial::Stall as u64 + 1;
 
 /// The library, built for this machine.
 #[derive(Clone, Debug)]
--- a/src/lab/sweep.rs
+++ b/src/lab/sweep.rs
@@ -37,6 +37,9 @@
 /// Pauses of each matcher whose agent does so, and the longest, in milliseconds: what waited meanwhile comes at once.
 const SOAK_PAUSES: u64 = 3;
 const SOAK_PAUSE_MS: u64 = 300;
+/// One of so many blocks of 64 seeds has matchers whose threads stall, in so many thousandths of their system calls.
+const SOAK_STALL_BLOCKS: u64 = 4;
+const SOAK_STALL_RATE: (u64, u64) = (5, 40);
 /// Cores of those agents and the part of the work that a run is there, so that many runs are at their calls when a link ends.
 const SOAK_LINK_CORES: u64 = 64;
 const SOAK_LINK_WORK: u64 = 10;
@@ -117,6 +120,7 @@
     }
     let (agent, stand_ins, pauses) = soak_stand_ins(seed, work_ms);
     faults.extend(pauses);
+    faults.extend(soak_stalls(seed));
     let burst = match whole(3) {
         _ if agent.contains("link_ms") => SOAK_LINK_CROWD.into(),
         0 => {
@@ -160,6 +164,23 @@
     (agent, beside, pauses.collect())
 }
 
+/// Stalls of the matchers' threads through the whole load, for the seeds that have them.
+fn soak_stalls(seed: u64) -> Vec<String> {
+    let block = seed / (4 * SOAK_KIND_SEEDS);
+    if block % SOAK_STALL_BLOCKS != SOAK_STALL_BLOCKS / 2 {
+        return Vec::new();
+    }
+    let mut random = Random::new(seed ^ 0x57a1);
+    let (least, most) = SOAK_STALL_RATE;
+    let mut stall = |m: u64| {
+        let rate = least + random.next_u64() % (most - least);
+        format!(
+            r#"{{"kind":"stall_threads","at_s":0.2,"for_s":{SOAK_SECONDS},"target":"m{m}","rate":{rate}}}"#
+        )
+    };
+    (1..=SOAK_MATCHERS).map(&mut stall).collect()
+}
+
 /// A stop of a matcher within the load, and its start after it.
 fn soak_stop(matcher: u64, kill_ms: u64, whole: &mut impl FnMut(u64) -> u64) -> String {
     let latest = (SOAK_SECONDS * 1_000.0) as u64 - kill_ms - SOAK_STOP_TAIL_MS;
--- a/tests/lab_sweep.rs
+++ b/tests/lab_sweep.rs
@@ -1,6 +1,7 @@
 //! The scenarios that the sweeps draw from seeds.
 
 use hopwalk::lab::scenario::{FaultKind, Scenario};
+use hopwalk::lab::shim::Dial;
 use hopwalk::lab::sweep::{scenario, soak_scenario, SOAK_KIND_SEEDS};
 
 #[test]
@@ -59,3 +60,17 @@
     }
     assert!(longest.len() >= 4 && longest.contains(&450), "{longest:?}");
 }
+
+#[test]
+fn every_fourth_block_of_64_seeds_of_the_soak_has_matchers_whose_threads_stall() {
+    for seed in (0..8 * 64).step_by(5) {
+        let read = Scenario::parse(&soak_scenario(seed)).unwrap();
+        let stalls = read.faults.iter().filter(|fault| match &fault.kind {
+            FaultKind::System { dials, .. } => {
+                dials.iter().any(|(dial, rate)| *dial == Dial::Stall && *rate > 0)
+            }
+            _ => false,
+        });
+        assert_eq!(stalls.count() == 4, seed / 64 % 4 == 2, "seed {seed}");
+    }
+}
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -1,7 +1,7 @@
 /* System calls that fail now and then, and a wall clock that is stepped: loaded into the program by tests (LD_PRELOAD).
  *
  * FAULTS names a file of 64-bit numbers, mapped into the process, that the test changes while the program runs. Rates are
- * in a thousand. Reads and writes of eight bytes and fewer are left alone: they wake threads. */
+ * in a thousand. Reads and writes of eight bytes and fewer do not fail: they wake threads. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -26,6 +26,7 @@
     int64_t disk_rate;      /* writes and syncs to files: ENOSPC, EIO */
     int64_t break_rate;     /* reads and writes on sockets that it connected: ETIMEDOUT, EHOSTUNREACH, for good */
     int64_t abort_rate;     /* accept: ECONNABORTED, and the connection is gone */
+    int64_t stall_rate;     /* reads, writes and waits, wake-ups too: the thread stands still for up to 5 ms before or behind */
 };
 
 static volatile struct control *control;
@@ -58,6 +59,16 @@
     static __typeof__(&name) next; \
     if (!next) next = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
 
+/* The thread stands still for a while, as one that gets no processor between two lines. */
+#define LONGEST_STALL_NS 5000000
+static void stall(void) {
+    if (!STRIKES(stall_rate)) return;
+    struct timespec time = {0, (long)(draw() % LONGEST_STALL_NS)};
+    int before = errno;
+    nanosleep(&time, NULL);
+    errno = before;
+}
+
 static int fails(const int *errors, int count) {
     errno = errors[draw() % (uint64_t)count];
     return -1;
@@ -127,7 +138,10 @@
 
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
     NEXT(epoll_wait);
-    return STRIKES(interrupt_rate) ? fails(interrupted, 1) : next(fd, events, most, timeout);
+    if (STRIKES(interrupt_rate)) return fails(interrupted, 1);
+    int ready = next(fd, events, most, timeout);
+    stall();
+    return ready;
 }
 
 int poll(struct pollfd *fds, nfds_t count, int timeout) {
@@ -137,21 +151,29 @@
 
 ssize_t read(int fd, void *bytes, size_t len) {
     NEXT(read);
-    return transfer_fails(fd, &len) ? -1 : next(fd, bytes, len);
+    if (transfer_fails(fd, &len)) return -1;
+    ssize_t got = next(fd, bytes, len);
+    stall();
+    return got;
 }
 
 ssize_t recv(int fd, void *bytes, size_t len, int flags) {
     NEXT(recv);
-    return transfer_fails(fd, &len) ? -1 : next(fd, bytes, len, flags);
+    if (transfer_fails(fd, &len)) return -1;
+    ssize_t got = next(fd, bytes, len, flags);
+    stall();
+    return got;
 }
 
 ssize_t send(int fd, const void *bytes, size_t len, int flags) {
     NEXT(send);
+    stall();
     return transfer_fails(fd, &len) ? -1 : next(fd, bytes, len, flags);
 }
 
 ssize_t write(int fd, const void *bytes, size_t len) {
     NEXT(write);
+    stall();
     if (len > 8 && STRIKES(disk_rate) && is_kind(fd, S_IFREG)) return fails(disk_errors, 2);
     return transfer_fails(fd, &len) ? -1 : next(fd, bytes, len);
 }
