Compare each served answer of a soak with the results that runs made

The load tool read the status of an answer and never its content, so that a soak could not see an answer that carries another request's result or a part of one. Agents record the result of each run; a 200 whose body is not one of them, or was not made from the request's body, is in the history as changed.

--- a/src/lab/connections.rs
+++ b/src/lab/connections.rs
@@ -81,8 +81,8 @@
 
 /// What became of a request.
 pub struct Asked {
-    /// The status of its answer.
-    pub answered: Result<u16, AskError>,
+    /// The status and the body of its answer.
+    pub answered: Result<(u16, Vec<u8>), AskError>,
     /// This end of its connection.
     pub near: Option<SocketAddr>,
     /// When all of it was written.
@@ -104,7 +104,7 @@
     again: bool,
     near: &mut Option<SocketAddr>,
     wrote: &mut Option<Instant>,
-) -> Result<u16, AskError> {
+) -> Result<(u16, Vec<u8>), AskError> {
     let since = Instant::now();
     let kept = idle.take(address).filter(|_| !again);
     let was_used = kept.is_some() && idle.reuse == Reuse::KeepsOpen;
@@ -129,7 +129,7 @@
             if answer.reusable && bytes.len() == answer.len {
                 idle.keep(address, stream);
             }
-            Ok(answer.status)
+            Ok((answer.status, bytes[answer.head..answer.len].to_vec()))
         }
         Err(AskError::Closed | AskError::Read(_) | AskError::Write(_))
             if was_used && bytes.is_empty() && sent.elapsed() <= CROSSING =>
--- a/src/lab/http.rs
+++ b/src/lab/http.rs
@@ -51,6 +51,8 @@
 pub struct Answered {
     /// Its status.
     pub status: u16,
+    /// Bytes of the head.
+    pub head: usize,
     /// Bytes of head and body.
     pub len: usize,
     /// The connection stays open.
@@ -69,6 +71,6 @@
         };
         let len = end + field("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
         let reusable = !field("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        (bytes.len() >= len).then_some(Self { status: head.code?, len, reusable })
+        (bytes.len() >= len).then_some(Self { status: head.code?, head: end, len, reusable })
     }
 }
--- a/src/lab/load.rs
+++ b/src/lab/load.rs
@@ -17,7 +17,7 @@
 use super::net::{Passage, Passages};
 use super::random::Random;
 use super::scenario::Scenario;
-use super::stand_in::Deadlines;
+use super::stand_in::{Deadlines, Results};
 use crate::fleet::experiment::{assign, Experiment};
 
 /// Requests out at once; an arrival beyond it is not sent, and counted.
@@ -26,6 +26,8 @@
 const KEYS_KEPT: usize = 1024;
 /// A key is repeated only this long after its first try: well inside the site's window of 13,356 ms.
 const REPEAT_WITHIN: Duration = Duration::from_secs(10);
+/// The status of an answer that carries a result.
+const SERVED: u16 = 200;
 /// A request that the load tool or its net brings so late is noted.
 const LATE: Duration = Duration::from_millis(20);
 /// How long a caller waits past its due time before it calls the request gone.
@@ -102,13 +104,15 @@
     pub targets: Targets,
     pub history: Recorder,
     pub deadlines: Deadlines,
+    /// What runs made, where answers are compared with it.
+    pub results: Option<Results>,
     pub passages: &'a Passages,
     pub clocks: &'a Clocks,
 }
 
 /// Runs until `stop` or the scenario's end; returns when the last arrival was made, not when it was answered.
 pub fn run(scenario: &Scenario, lab: Shared<'_>, stop: &AtomicBool, steer: &Mutex<Steer>) -> Arc<Tally> {
-    let Shared { targets, history, deadlines, passages, clocks } = lab;
+    let Shared { targets, history, deadlines, results, passages, clocks } = lab;
     let (load, seconds, seed) = (&scenario.load, scenario.seconds, scenario.seed);
     let reuse = match (load.keeps_open, scenario.direct) {
         (true, _) => Reuse::KeepsOpen,
@@ -187,6 +191,7 @@
         let sender = Sender {
             history: history.clone(),
             deadlines: deadlines.clone(),
+            results: results.clone(),
             passages: passages.clone(),
             through_net: !scenario.direct,
         };
@@ -218,6 +223,7 @@
 /// A try that is noted as sent: its id and its bytes.
 struct Try {
     id: String,
+    body: Vec<u8>,
     bytes: Vec<u8>,
 }
 
@@ -225,6 +231,7 @@
 struct Sender {
     history: Recorder,
     deadlines: Deadlines,
+    results: Option<Results>,
     passages: Passages,
     /// Requests pass the net.
     through_net: bool,
@@ -242,7 +249,7 @@
         let (class, key) = (class.to_string(), key.clone());
         self.history.record(Event::Send { id: id.clone(), to: to.clone(), class, key, due_ms });
         self.deadlines.insert(&id, Instant::now() + patience);
-        Try { id, bytes }
+        Try { id, body: body.to_vec(), bytes }
     }
 
     /// Sends a try, and once more where its connection was closed under it.
@@ -274,7 +281,7 @@
         idle: &Idle,
         again: bool,
     ) -> Option<String> {
-        let Try { id, bytes } = sent;
+        let Try { id, body, bytes } = sent;
         let noted = Instant::now();
         let Asked { answered, near, wrote } = ask(idle, address, &bytes, patience + GRACE, again);
         let passage = near.and_then(|near| self.passages.take(near, address)).unwrap_or_default();
@@ -284,8 +291,14 @@
         });
         let crossed = matches!(answered, Err(AskError::Crossed)).then(|| id.clone());
         self.note_own_lateness(&id, noted, wrote, passage);
+        if let (Ok((SERVED, result)), Some(results)) = (&answered, &self.results) {
+            if !results.has(&body, result) {
+                let what = format!("answer got=[{}]", String::from_utf8_lossy(result));
+                self.history.record(Event::Changed { by: "callers".into(), handle: id.clone(), what });
+            }
+        }
         self.history.record(match answered {
-            Ok(status) => Event::Answer { id, status, passed },
+            Ok((status, _)) => Event::Answer { id, status, passed },
             Err(why @ (AskError::Refused | AskError::Crossed)) => {
                 Event::NotTaken { id, why: why.to_string() }
             }
--- a/src/lab/routes/mod.rs
+++ b/src/lab/routes/mod.rs
@@ -302,7 +302,7 @@
         let steer = self.steer.clone();
         let work = move || {
             let (passages, clocks) = (&passages, &load::Clocks::default());
-            let shared = load::Shared { targets, history, deadlines, passages, clocks };
+            let shared = load::Shared { targets, history, deadlines, results: None, passages, clocks };
             load::run(&scenario, shared, &stop, &steer)
         };
         self.loader = Some(thread::spawn(work));
--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -29,7 +29,7 @@
 use super::stall;
 use super::stand_in::asks::Asks;
 use super::stand_in::faulty_vault::{faulty_vault, sound_vault};
-use super::stand_in::{Agent, Control, Deadlines, Lifetimes};
+use super::stand_in::{Agent, Control, Deadlines, Lifetimes, Results};
 
 /// Members that all members are told of at their start.
 const SEEDS: usize = 2;
@@ -124,7 +124,7 @@
     let mut links: HashMap<String, Link> = HashMap::new();
     let mut matchers = Vec::new();
     let work = Duration::from_millis(scenario.work_ms);
-    let (deadlines, passages) = (Deadlines::default(), Passages::default());
+    let (deadlines, passages, results) = (Deadlines::default(), Passages::default(), Results::default());
     let peers = scenario.fleet.map(|_| PeerNet::start(scenario.matchers, scenario.seed));
     let peers = peers.transpose().map_err(listen_error("the fleet's net"))?;
     let shim = scenario.needs_shim().then(|| Shim::build(&options.folder)).transpose().map_err(file)?;
@@ -141,6 +141,7 @@
         let agent = Agent::recorded(cores, work, CALLS, history.clone(), &by, over, lifetimes);
         let (asks, by) = (Asks::default(), format!("vault-{name}"));
         agent.check_asks(asks.clone());
+        agent.record_results(results.clone());
         let vault = match scenario.stand_ins.has_faulty_vault {
             true => faulty_vault(seed, history.clone(), &by, asks),
             false => sound_vault(history.clone(), &by, asks),
@@ -205,7 +206,8 @@
         let (history, stop, clocks) = (history.clone(), stop.clone(), clocks.clone());
         thread::spawn(move || {
             let (passages, clocks) = (&passages, &*clocks);
-            let shared = load::Shared { targets, history, deadlines, passages, clocks };
+            let shared =
+                load::Shared { targets, history, deadlines, results: Some(results), passages, clocks };
             load::run(&scenario, shared, &stop, &Mutex::default())
         })
     };
--- a/src/lab/stand_in/agent.rs
+++ b/src/lab/stand_in/agent.rs
@@ -17,6 +17,7 @@
 use super::deadlines::Deadlines;
 use super::deliveries::{AtReply, Deliveries};
 use super::lifetimes::Lifetimes;
+use super::results::Results;
 use super::{wait_until, PATIENCE};
 use crate::lab::history::{Event, Recorder};
 
@@ -38,6 +39,8 @@
     deliveries: Deliveries,
     /// The asks of the vault behind it, where each reply is checked against the ask in force.
     asks: Option<Asks>,
+    /// Where the results of its runs are recorded, if at all.
+    results: Option<Results>,
     /// Runs that are over.
     ended: HashSet<String>,
     notices: Vec<String>,
@@ -169,7 +172,7 @@
         self.busy.fetch_add(1, Ordering::Relaxed);
         thread::sleep(slice);
         self.busy.fetch_sub(1, Ordering::Relaxed);
-        let mut made = [b"made:", arg].concat();
+        let mut made = Results::begin(arg);
         for number in 0..self.calls {
             let body =
                 if number == 0 { arg.to_vec() } else { [arg, format!(" call {number}").as_bytes()].concat() };
@@ -187,6 +190,7 @@
                 thread::sleep(slice);
             }
         }
+        self.told.lock().unwrap().results.iter().for_each(|results| results.record(&made));
         let arg = BASE64.encode(&made);
         let lasted = work.as_millis();
         self.tell(
@@ -344,6 +348,11 @@
         self.told.lock().unwrap().asks = Some(asks);
     }
 
+    /// Records the result of each run from now on.
+    pub fn record_results(&self, results: Results) {
+        self.told.lock().unwrap().results = Some(results);
+    }
+
     pub fn launches(&self) -> Vec<(String, String, Vec<u8>)> {
         self.told.lock().unwrap().launches.clone()
     }
--- a/src/lab/stand_in/mod.rs
+++ b/src/lab/stand_in/mod.rs
@@ -10,6 +10,7 @@
 mod deliveries;
 pub mod faulty_vault;
 mod lifetimes;
+mod results;
 mod vault;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 pub use control::Control;
 pub use deadlines::{Deadlines, MOST_DEADLINES};
 pub use lifetimes::Lifetimes;
+pub use results::Results;
 pub use vault::{broken_vault, spoiling_vault, vault};
 
 /// How long [`wait_for`] waits.
--- a/tests/lab_agent.rs
+++ b/tests/lab_agent.rs
@@ -9,7 +9,7 @@
 use base64::Engine;
 use hopwalk::lab::history::{self, Event, Recorder};
 use hopwalk::lab::stand_in::asks::Asks;
-use hopwalk::lab::stand_in::{Agent, Deadlines, Lifetimes};
+use hopwalk::lab::stand_in::{Agent, Deadlines, Lifetimes, Results};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 const WORK: Duration = Duration::from_millis(2);
@@ -233,6 +233,24 @@
     assert_eq!(recording.changed(), faults(&[("h", "again")]));
 }
 
+#[test]
+fn only_what_a_run_made_is_a_result_of_its_body() {
+    let recording = Recording::start("results", 1, None);
+    let results = Results::default();
+    recording.agent.record_results(results.clone());
+    let mut link = Link::open(recording.agent.address, 0);
+    link.say_about("launch", "h", "lab h  seat");
+    link.wait_for("request");
+    assert!(!results.has(b"lab h  seat", b"made:lab h  seatreply:lab h  seat"), "it has not ended");
+    link.say_about("deliver", "h", "reply:lab h  seat");
+    link.wait_for("outcome");
+    assert!(results.has(b"lab h  seat", b"made:lab h  seatreply:lab h  seat"));
+    assert!(!results.has(b"lab k  seat", b"made:lab h  seatreply:lab h  seat"), "that is another request's");
+    assert!(!results.has(b"lab h  seat", b"made:lab h  seat"), "a part of it");
+    recording.recorder.finish();
+    std::fs::remove_file(&recording.file).unwrap();
+}
+
 #[test]
 fn an_agent_ends_links_right_after_their_greeting_several_in_a_row_and_some_live_long() {
     let most = Duration::from_millis(450);
--- a/tests/lab_http.rs
+++ b/tests/lab_http.rs
@@ -6,11 +6,15 @@
 fn an_answer_is_read_only_whole() {
     assert_eq!(Answered::read(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After-Ms: 5\r\n"), None);
     let whole = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n";
-    assert_eq!(Answered::read(whole), Some(Answered { status: 503, len: whole.len(), reusable: false }));
+    assert_eq!(
+        Answered::read(whole),
+        Some(Answered { status: 503, head: whole.len(), len: whole.len(), reusable: false })
+    );
     assert_eq!(Answered::read(b"HTTP/1.1 2x0 OK\r\n\r\n"), None);
     let body = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     assert_eq!(Answered::read(&body[..body.len() - 1]), None);
-    assert_eq!(Answered::read(body), Some(Answered { status: 200, len: body.len(), reusable: true }));
+    let head = body.len() - 2;
+    assert_eq!(Answered::read(body), Some(Answered { status: 200, head, len: body.len(), reusable: true }));
 }
 
 #[test]
