Date a kill of the lab by its beginning, and join what two tests of asks share

The kill at a stop is dated before the kill already; the plain one now too.

The tests of further asks share their end, and their stand-in ends with its test.

--- a/src/lab/run.rs
+++ b/src/lab/run.rs
@@ -361,9 +361,10 @@
         Action::Kill(name) => {
             let i = matcher(matchers, name)?;
             if let Some(mut child) = matchers[i].child.take() {
+                // Before the kill, as at a stop: the end of the process may take a while.
+                history.record(Event::Process { name: name.clone(), what: "kill".into() });
                 let _ = child.kill();
                 let _ = child.wait();
-                history.record(Event::Process { name: name.clone(), what: "kill".into() });
             }
         }
         Action::System { target, dials } => {
--- a/tests/program/asks.rs
+++ b/tests/program/asks.rs
@@ -84,16 +84,36 @@
 /// Answers each further ask with the reply to the first one, as a proxy does that keeps its calls by request.
 fn reply_late_to_further_asks(vault: Listener, handle: String) -> Arc<AtomicUsize> {
     let asks = Arc::<AtomicUsize>::default();
-    let counted = asks.clone();
-    thread::spawn(move || loop {
-        let mut connection = vault.accept();
-        connection.read_call();
-        counted.fetch_add(1, Ordering::Relaxed);
-        connection.reply(&handle, b"reply to the first ask");
+    let counted = Arc::downgrade(&asks);
+    thread::spawn(move || {
+        while let Some(asks) = counted.upgrade() {
+            if let Some(mut connection) = vault.try_accept() {
+                connection.read_call();
+                asks.fetch_add(1, Ordering::Relaxed);
+                connection.reply(&handle, b"reply to the first ask");
+            }
+            drop(asks);
+            thread::sleep(Duration::from_millis(1));
+        }
     });
     asks
 }
 
+/// From now on each further ask of the run's call gets the reply to the first one. Ends the ask in progress by `end`, and
+/// checks that the run continues without its call, and that no ask beyond the first `asks` was made.
+fn expect_no_further_ask(fixture: Fixture, call: (String, u64), asks: u64, end: impl FnOnce()) {
+    let Fixture { program, mut link, vault, mut stream, _agent, .. } = fixture;
+    let (handle, cursor) = call;
+    let further_asks = reply_late_to_further_asks(vault, handle.clone());
+    end();
+    let command = link.expect_run_command("forgo");
+    assert_eq!((&command.handle, command.cursor), (&handle, cursor));
+    link.send_outcome(cursor + 1, &handle, "complete", b"made");
+    assert_eq!(read_answer(&mut stream).body, b"made");
+    assert_eq!(further_asks.load(Ordering::Relaxed), 0);
+    assert_eq!((program.counter("calls_made"), program.counter("violations")), (asks, 0));
+}
+
 #[rstest]
 fn a_reply_to_an_ask_that_was_given_up_is_not_delivered(
     #[values(AskEnd::Broken, AskEnd::Malformed, AskEnd::Overdue)] end: AskEnd,
@@ -103,15 +123,8 @@
     let (handle, cursor) = fixture.start_call();
     let mut connection = fixture.vault.accept();
     connection.read_call();
-    let Fixture { program, mut link, vault, mut stream, .. } = fixture;
-    let further_asks = reply_late_to_further_asks(vault, handle.clone());
-    end.perform(&mut connection, &handle);
-    let command = link.expect_run_command("forgo");
-    assert_eq!((command.handle, command.cursor), (handle.clone(), cursor));
-    link.send_outcome(cursor + 1, &handle, "complete", b"made");
-    assert_eq!(read_answer(&mut stream).body, b"made");
-    assert_eq!(further_asks.load(Ordering::Relaxed), 0);
-    assert_eq!((program.counter("calls_made"), program.counter("violations")), (1, 0));
+    let end_ask = || end.perform(&mut connection, &handle);
+    expect_no_further_ask(fixture, (handle.clone(), cursor), 1, end_ask);
 }
 
 #[test]
@@ -119,19 +132,13 @@
     // Guards against a third ask that takes the reply to the second: a copy of the first ask's status ended the second.
     let mut fixture = Fixture::start();
     let (handle, cursor) = fixture.start_call();
-    for _ in 0..2 {
-        let mut connection = fixture.vault.accept();
-        connection.read_call();
-        connection.write(format!("{handle} notnow\r\n"));
-    }
-    let Fixture { program, mut link, vault, mut stream, .. } = fixture;
-    let further_asks = reply_late_to_further_asks(vault, handle.clone());
-    let command = link.expect_run_command("forgo");
-    assert_eq!((command.handle, command.cursor), (handle.clone(), cursor));
-    link.send_outcome(cursor + 1, &handle, "complete", b"made");
-    assert_eq!(read_answer(&mut stream).body, b"made");
-    assert_eq!(further_asks.load(Ordering::Relaxed), 0);
-    assert_eq!((program.counter("calls_made"), program.counter("violations")), (2, 0));
+    let refusal = format!("{handle} notnow\r\n");
+    let mut first = fixture.vault.accept();
+    first.read_call();
+    first.write(&refusal);
+    let mut second = fixture.vault.accept();
+    second.read_call();
+    expect_no_further_ask(fixture, (handle, cursor), 2, || second.write(&refusal));
 }
 
 #[test]
--- a/tests/program/scripted.rs
+++ b/tests/program/scripted.rs
@@ -34,14 +34,19 @@
     pub fn accept(&self) -> Peer {
         let mut accepted = None;
         wait_for("a connection", || {
-            accepted = self.listener.accept().ok();
+            accepted = self.try_accept();
             accepted.is_some()
         });
-        let stream = accepted.unwrap().0;
+        accepted.unwrap()
+    }
+
+    /// Accepts the next connection if there is one.
+    pub fn try_accept(&self) -> Option<Peer> {
+        let (stream, _) = self.listener.accept().ok()?;
         stream.set_nonblocking(false).unwrap();
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Peer { reader: BufReader::new(stream.try_clone().unwrap()), writer: stream }
+        Some(Peer { reader: BufReader::new(stream.try_clone().unwrap()), writer: stream })
     }
 
     /// Returns true if nobody has connected since the last connection was accepted.
