Judge in the lab whether a reply was made within the time that its ask states

The vault stand-in notes whether a copy of a reply was sent within the stated time, counted from when it read the ask; the agent stand-in records a reply of an ask without such a copy as changed (reply_after_stated_time). The lab's net delays an ask by more than the millisecond in question, so that it cannot show the fault; the scripted test does.

--- a/src/lab/stand_in/asks.rs
+++ b/src/lab/stand_in/asks.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// One ask of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,10 @@
     pub connection: u64,
     /// The body of the call.
     pub body: Vec<u8>,
+    /// When the time that the ask states ends, counted from when it was read.
+    pub ends_at: Instant,
+    /// A reply was sent before then. Without one, the ask was over when its reply was made.
+    pub was_answered_in_time: bool,
 }
 
 impl Ask {
@@ -34,15 +39,25 @@
 }
 
 impl Asks {
-    /// Records an ask of the request `id`, which gives up the request's previous ask.
-    pub fn begin(&self, id: &str, connection: u64, body: &[u8]) -> Ask {
+    /// Records an ask of the request `id` that states this time. It gives up the request's previous ask.
+    pub fn begin(&self, id: &str, connection: u64, body: &[u8], stated_time: Duration) -> Ask {
         let mut recorded = self.recorded();
         recorded.count += 1;
-        let ask = Ask { number: recorded.count, connection, body: body.to_vec() };
+        let ends_at = Instant::now() + stated_time;
+        let (number, body) = (recorded.count, body.to_vec());
+        let ask = Ask { number, connection, body, ends_at, was_answered_in_time: false };
         recorded.last.insert(id.to_string(), ask.clone());
         ask
     }
 
+    /// Records that a reply to an ask is sent now.
+    pub fn answer(&self, id: &str, number: u64) {
+        let mut recorded = self.recorded();
+        if let Some(ask) = recorded.last.get_mut(id).filter(|ask| ask.number == number) {
+            ask.was_answered_in_time |= Instant::now() <= ask.ends_at;
+        }
+    }
+
     /// The request's ask that is in force: its last one.
     pub fn in_force(&self, id: &str) -> Option<Ask> {
         self.recorded().last.get(id).cloned()
--- a/src/lab/stand_in/deliveries.rs
+++ b/src/lab/stand_in/deliveries.rs
@@ -48,7 +48,10 @@
         let kind = match run {
             AtReply::Waiting { body, ask: None, .. } if reply == [b"reply:", body].concat() => return None,
             AtReply::Waiting { body, ask: Some(ask), .. } if ask.body == body && reply == ask.reply() => {
-                return None
+                if ask.was_answered_in_time {
+                    return None;
+                }
+                "reply_after_stated_time"
             }
             AtReply::Waiting { body, ask: Some(_), .. } if reply.ends_with(&[b":", body].concat()) => {
                 "reply_of_abandoned_ask"
--- a/src/lab/stand_in/faulty_vault.rs
+++ b/src/lab/stand_in/faulty_vault.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::asks::Asks;
+use super::asks::{Ask, Asks};
 use super::body::LabBody;
 use crate::lab::history::{Event, Recorder};
 use crate::lab::random::Random;
@@ -21,6 +21,8 @@
 /// milliseconds.
 const LATE_MS: u64 = 70;
 const BEHIND_MS: u64 = 300;
+/// Of the replies behind their call's time, one of four is made in the moment in which that time has passed.
+const AT_ONCE_BEHIND_MS: u64 = BEHIND_MS / 3;
 const COPY_MS: u64 = 120;
 
 /// The connection that a reply goes over, of those that are open then.
@@ -57,7 +59,10 @@
         let first = match below(12) {
             0..=8 => (0, Over::Own),
             9 => (10 + below(LATE_MS), Over::Own),
-            10 => (patience_ms + below(BEHIND_MS), [Over::Newest, Over::LastAsk][below(2) as usize]),
+            10 => {
+                let behind_ms = below(AT_ONCE_BEHIND_MS + BEHIND_MS).saturating_sub(AT_ONCE_BEHIND_MS);
+                (patience_ms + behind_ms, [Over::Newest, Over::LastAsk][below(2) as usize])
+            }
             _ => (below(LATE_MS), Over::Any(below(1 << 20))),
         };
         let is_turned_away = below(12) == 0;
@@ -152,7 +157,7 @@
     }
 
     fn ask(self: &Arc<Self>, number: u64, id: &str, patience_ms: u64, body: &[u8]) {
-        let ask = self.asks.begin(id, number, body);
+        let ask = self.asks.begin(id, number, body, Duration::from_millis(patience_ms));
         let plan = match &self.random {
             Some(random) => {
                 Plan::draw(&mut random.lock().unwrap_or_else(PoisonError::into_inner), patience_ms)
@@ -170,19 +175,23 @@
         for (wait_ms, over) in plan.copies {
             let (shared, reply, id) = (self.clone(), reply.clone(), id.to_string());
             match wait_ms {
-                0 => shared.write(&id, number, over, &reply),
-                _ => drop(thread::spawn(move || {
-                    thread::sleep(Duration::from_millis(wait_ms));
-                    shared.write(&id, number, over, &reply);
-                })),
+                0 => shared.write(&id, &ask, over, &reply),
+                _ => {
+                    let ask = ask.clone();
+                    drop(thread::spawn(move || {
+                        thread::sleep(Duration::from_millis(wait_ms));
+                        shared.write(&id, &ask, over, &reply);
+                    }));
+                }
             }
         }
     }
 
-    fn write(&self, id: &str, asked_on: u64, over: Over, reply: &[u8]) {
+    fn write(&self, id: &str, ask: &Ask, over: Over, reply: &[u8]) {
+        self.asks.answer(id, ask.number);
         let number = match over {
-            Over::LastAsk => self.asks.in_force(id).map_or(asked_on, |ask| ask.connection),
-            _ => asked_on,
+            Over::LastAsk => self.asks.in_force(id).map_or(ask.connection, |last| last.connection),
+            _ => ask.connection,
         };
         let mut open = self.open();
         let count = open.len() as u64;
--- a/tests/lab_agent.rs
+++ b/tests/lab_agent.rs
@@ -82,7 +82,7 @@
 }
 
 impl Recording {
-    /// Runs make so many calls; requests of the handles `h` and `k` are not over for a while.
+    /// Runs make so many calls; requests of the handles `h`, `k` and `l` are not over for a while.
     fn start(name: &str, calls: usize, lifetimes: Option<Lifetimes>) -> Self {
         Self::working(name, WORK, calls, lifetimes)
     }
@@ -91,8 +91,8 @@
         let file = history_file(name);
         let recorder = Recorder::create(&file).unwrap();
         let deadlines = Deadlines::default();
-        ["h", "k"].iter().for_each(|handle| deadlines.insert(handle, Instant::now() + PATIENCE));
-        let agent = Agent::recorded(2, work, calls, recorder.clone(), "a1", deadlines, lifetimes);
+        ["h", "k", "l"].iter().for_each(|handle| deadlines.insert(handle, Instant::now() + PATIENCE));
+        let agent = Agent::recorded(3, work, calls, recorder.clone(), "a1", deadlines, lifetimes);
         Self { file, recorder, agent }
     }
 
@@ -172,23 +172,25 @@
 }
 
 #[test]
-fn the_reply_to_an_ask_that_another_ask_of_the_same_call_gave_up_is_a_fault() {
+fn the_reply_to_an_ask_that_was_given_up_or_ran_out_of_time_is_a_fault() {
     let recording = Recording::start("asks", 1, None);
     let asks = Asks::default();
     recording.agent.check_asks(asks.clone());
     let mut link = Link::open(recording.agent.address, 0);
     let mut all = Vec::new();
-    for handle in ["h", "k"] {
+    for (handle, stated_time) in [("h", PATIENCE), ("k", PATIENCE), ("l", Duration::ZERO)] {
         let body = format!("lab {handle}  seat");
         link.say_about("launch", handle, &body);
         link.wait_for("request");
-        all.push([0, 1].map(|connection| asks.begin(handle, connection, body.as_bytes())));
+        all.push([0, 1].map(|connection| asks.begin(handle, connection, body.as_bytes(), stated_time)));
     }
-    for (handle, ask) in [("h", &all[0][0]), ("k", &all[1][1])] {
+    for (handle, ask) in [("h", &all[0][0]), ("k", &all[1][1]), ("l", &all[2][1])] {
+        asks.answer(handle, ask.number);
         link.say_about("deliver", handle, std::str::from_utf8(&ask.reply()).unwrap());
     }
     link.until_read();
-    assert_eq!(recording.changed(), faults(&[("h", "reply_of_abandoned_ask")]));
+    let expected = [("h", "reply_of_abandoned_ask"), ("l", "reply_after_stated_time")];
+    assert_eq!(recording.changed(), faults(&expected));
 }
 
 #[test]
