Wait no longer for a reply than the time that its ask states

What callers saw: a run got a reply to an ask that had run out of time at the dependency, so that it was made for an ask that was over. Cause: encode_ask cut the time down to whole milliseconds, while the reader waited for the uncut time from an earlier moment on. On a local connection an ask arrives within a tenth of a millisecond, so that the dependency gave it up to a millisecond before this side did. A routed ask stated the time that was left at its write, with the same cut. SCGI calls had both, and took a reply that was read after their time as well. Change: net/stated_time states whole milliseconds and ends the wait with them, for asks, SCGI calls and SCGI runs.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -28,6 +28,7 @@
 pub mod scgi;
 pub mod socket_retry;
 mod spawn;
+mod stated_time;
 mod stream;
 mod tls;
 pub mod vault;
--- a/src/net/scgi.rs
+++ b/src/net/scgi.rs
@@ -16,6 +16,7 @@
 use super::fields::{Fields, Message, RequestError, MAX_BODY, MAX_HEAD};
 use super::frontend::{is_timeout, read_some, Wire};
 use super::http::{answer_parts, parse_target, reason_phrase, Target};
+use super::stated_time::StatedTime;
 use super::{spawn, Hub};
 use crate::core::{Answer, AskId, Bytes, CallReply, Command, End, Handle, Input, LinkId, Notice};
 
@@ -207,8 +208,8 @@
 
 /// Makes one call and returns how it ended. A call whose connection could not be opened never ran; one that broke after
 /// a byte was sent may have run.
-fn exchange(service: SocketAddr, request: &[u8], timeout: Duration) -> (End, Option<Bytes>) {
-    let deadline = Instant::now() + timeout;
+fn exchange(service: SocketAddr, request: &[u8], stated: StatedTime) -> (End, Option<Bytes>) {
+    let (timeout, deadline) = (stated.duration(), stated.ends_at());
     let Ok(mut stream) = TcpStream::connect_timeout(&service, CONNECT_TIMEOUT.min(timeout)) else {
         return (End::Refused, None);
     };
@@ -250,7 +251,13 @@
     let hub = hub.clone();
     spawn(move || {
         let (handle, attempt) = (ask.handle, ask.attempt);
-        let (end, reply) = exchange(service, &encode_call("/call", handle, timeout, &body), timeout);
+        let stated = StatedTime::begin(timeout);
+        let request = encode_call("/call", handle, stated.duration(), &body);
+        let (end, reply) = match exchange(service, &request, stated) {
+            // The process may have stood still, and the reply may have been made too late.
+            (_, Some(_)) if Instant::now() >= stated.ends_at() => (End::Overdue, None),
+            result => result,
+        };
         let reply = reply.map(|body| CallReply::read(ask, hub.new_call_connection(), body));
         hub.push(Input::CallEnded { handle, attempt, end, reply, fence: None });
     });
@@ -275,7 +282,9 @@
         let (address, hub) = (self.address, self.hub.clone());
         spawn(move || {
             let started = Instant::now();
-            let (end, result) = exchange(address, &encode_call(&path, handle, timeout, &arg), timeout);
+            let stated = StatedTime::begin(timeout);
+            let request = encode_call(&path, handle, stated.duration(), &arg);
+            let (end, result) = exchange(address, &request, stated);
             let duration = Some(started.elapsed());
             let notice = Notice::Outcome { handle, end, duration, result };
             hub.push(Input::Agent { link: LinkId::NONE, notice });
--- a/src/net/vault/mod.rs
+++ b/src/net/vault/mod.rs
@@ -21,6 +21,7 @@
 use super::call_log::CallEvent;
 use super::frontend::is_timeout;
 use super::lines::LinkReader;
+use super::stated_time::StatedTime;
 use super::stream::Conn;
 use super::{spawn, Hub};
 use crate::core::{AskId, Bytes, CallReply, End, Handle, Input, ReplyDigest};
@@ -319,8 +320,10 @@
         };
         let mut link = LinkReader::new(connection.conn.clone());
         // A routed call may have waited for a switch to pass: it is sent with the time that is left.
-        let timeout = if fence.is_some() { ask.time_left() } else { ask.timeout };
-        let result = match connection.conn.write_all(&encode_ask(handle, timeout, &ask.body, fence)) {
+        let stated = StatedTime::begin(if fence.is_some() { ask.time_left() } else { ask.timeout });
+        link.set_deadline(ask.deadline().min(stated.ends_at()));
+        let result = match connection.conn.write_all(&encode_ask(handle, stated.duration(), &ask.body, fence))
+        {
             Ok(()) => match self.read_reply(&mut link, &ask, connection.number) {
                 // Only a service whose calls are routed may reply `stale`.
                 Ok(Reply { end: End::Stale, .. }) if fence.is_none() => Err(End::Malformed),
@@ -420,10 +423,9 @@
         connection.conn.shutdown(Shutdown::Both);
     }
 
-    /// Reads until the reply to the call arrives. Replies to other requests and copies of earlier replies are skipped
+    /// Reads until the reply to the call arrives or the link's deadline passes. Replies to other requests and copies of earlier replies are skipped
     /// and counted as stray.
     fn read_reply(&self, link: &mut LinkReader, ask: &Ask, connection: u64) -> Result<Reply, End> {
-        link.set_deadline(ask.deadline());
         let mut parser = ReplyParser::default();
         let mut followed_strays = false;
         loop {
