--- a/src/core/answer_deadlines.rs
+++ b/src/core/answer_deadlines.rs
@@ -35,7 +35,7 @@
 }
 
 /// All answers that are owed; at most one for each connection.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AnswerDeadlines {
     owed: HashMap<ConnId, Owed>,
     /// The same answers, ordered by deadline.
--- a/src/core/call_history.rs
+++ b/src/core/call_history.rs
@@ -11,7 +11,7 @@
 const MAX_REPLIES: usize = 1024;
 
 /// What the asks of one request got so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct CallHistory {
     /// Digests of the successful replies.
     replies: Vec<ReplyDigest>,
--- a/src/core/call_routes.rs
+++ b/src/core/call_routes.rs
@@ -13,14 +13,14 @@
 use crate::interface::{self, Event, RequestId, RouteState};
 
 /// What the fleet reports about the calls of each class, by the name of the class.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ClassRoutes {
     states: HashMap<String, RouteState>,
     limits: HashMap<String, LimitsOfClass>,
 }
 
 /// The call limits of a class.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct LimitsOfClass {
     /// The limits of the class's own route.
     default: Option<CallLimits>,
@@ -37,7 +37,7 @@
 }
 
 /// What the route of a request depends on, and what is known of it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct RouteKey {
     tenant: Option<Arc<str>>,
     /// What the experiment arm is drawn from: the request's object, or else its key, or else its handle.
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -11,7 +11,7 @@
 const CALL_OVERDUE_MARGIN: Duration = Duration::from_millis(30);
 
 /// The call that a run waits for, or the last one that it waited for.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct CallState {
     /// The number of the notice that requested the call; 0 before the first call.
     pub(super) cursor: u64,
--- a/src/core/delivery/mod.rs
+++ b/src/core/delivery/mod.rs
@@ -32,7 +32,7 @@
 const REPLY_DOUBT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The connection to the agent, or to the application that does the work.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AgentLink {
     pub(super) connection: Connection,
     /// The newest link of which a message was received.
--- a/src/core/delivery/session.rs
+++ b/src/core/delivery/session.rs
@@ -10,7 +10,7 @@
 use crate::interface::RequestId;
 
 /// How commands reach the agent, or the application that does the work.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(in crate::core) enum Connection {
     /// There is no link: commands about runs wait for the next one.
     #[default]
@@ -36,7 +36,7 @@
 }
 
 /// A link on which the agent has greeted.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(in crate::core) struct Session {
     pub(super) link: LinkId,
     /// Number of commands that were sent on it.
--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -16,7 +16,7 @@
 pub(super) const WINDOW_MARGIN: Duration = Duration::from_secs(1);
 
 /// The run of a key.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Run {
     id: RequestId,
     /// No other try that arrived by this time may be run.
@@ -25,7 +25,7 @@
 }
 
 /// A try whose request is still active.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Try {
     id: RequestId,
     /// When it reached this machine, and the end of the window that its run would open.
@@ -34,7 +34,7 @@
 }
 
 /// The state of one key.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
     /// The digest of the request that the key stands for: of the class and the body of the first try.
     digest: u64,
@@ -59,7 +59,7 @@
 }
 
 /// The table of all remembered keys.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Keys {
     entries: HashMap<Key, Entry>,
     result_bytes: usize,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -79,7 +79,7 @@
 }
 
 /// A request that has no answer yet, or whose run has not ended.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ActiveRequest {
     /// The connection that gets the answer; `None` after the answer was sent.
     conn: Option<ConnId>,
@@ -105,6 +105,7 @@
 }
 
 /// The reducer.
+#[derive(Clone, Debug)]
 pub struct Core {
     engine: DecisionEngine,
     site: Site,
--- a/src/core/past_asks.rs
+++ b/src/core/past_asks.rs
@@ -15,7 +15,7 @@
 const MAX_HISTORIES: usize = 4096;
 
 /// The histories of requests that made asks and are over.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct PastAsks {
     histories: HashMap<Handle, (Duration, CallHistory)>,
     /// When each history is dropped, in order. An entry whose history was taken or replaced has no effect.
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -20,7 +20,7 @@
     "a new process has to wait for the keys: until their windows end, an earlier successor may have run keys that are unknown here";
 
 /// What a reducer knows of its peer process.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct PeerState {
     /// Requests of this process that wait for a run of the predecessor, by the id that stands for that run.
     waiters: HashMap<RequestId, Vec<RequestId>>,
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -103,7 +103,7 @@
 }
 
 /// The decision module of one server.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct DecisionEngine {
     settings: Settings,
     started_at: Duration,
--- a/src/decisions/calls.rs
+++ b/src/decisions/calls.rs
@@ -38,7 +38,7 @@
 pub(super) const AT_CALL_PER_CORE: f64 = 3.0;
 
 /// The calls in progress, and what is learned about their delay.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Calls {
     pub(super) mean_s: f64,
     /// The base delay, that of the dependency without overload: it follows a fall soon and a rise slowly.
--- a/src/decisions/connections.rs
+++ b/src/decisions/connections.rs
@@ -24,7 +24,7 @@
 /// Closing idle connections guards against a full connection table, which takes CPU and keeps callers out. In a
 /// storm, unless cores are idle, connections stay open: the full table then turns new callers away before their
 /// requests are read.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Connections {
     /// When each caller was last seen.
     pub(super) last_seen: BTreeMap<u32, Duration>,
--- a/src/decisions/keys.rs
+++ b/src/decisions/keys.rs
@@ -29,7 +29,7 @@
 }
 
 /// All key groups, each under the id of one of its tries.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct KeyGroups {
     pub(super) groups: BTreeMap<RequestId, KeyGroup>,
     /// The group of each try.
--- a/src/decisions/limit.rs
+++ b/src/decisions/limit.rs
@@ -13,7 +13,7 @@
 const FALL_SHARE: f64 = 0.08;
 
 /// The running limit, and the window of completed runs over which the throughput is measured.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Limit {
     pub(super) slots: f64,
     climbed_at: Duration,
