Run an id only once: what is said about its first run names the second one as well

Cause: an agent reads an old link's launch late and starts the run of a request again; the request is answered, and its id is sent again. The call of the run that was started again names the id only, so that it was taken for a call of the second life, whose run got the reply. A request under such an id is not launched and makes no ask; it is failed, never refused, as a refusal promises that it never ran. Joining a run of its key is as before.

--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -17,11 +17,11 @@
         };
         let Some(request) = self.requests.get(&id) else { return };
         match request.phase {
-            Phase::Held | Phase::Joined => {
+            Phase::Held | Phase::Joined if !self.past_runs.contains(now, request.handle) => {
                 self.answer_request(now, id, Verdict::Refused { retry_after, no_retry });
                 self.remove_request(now, id, None);
             }
-            // A refusal promises that the try never ran, which no longer holds: the answer is a failure instead.
+            // A refusal promises that the try never ran, which does not hold: the answer is a failure instead.
             _ => self.fail(now, id),
         }
     }
--- a/src/core/arrivals.rs
+++ b/src/core/arrivals.rs
@@ -66,7 +66,6 @@
         self.counters.repeats += u64::from(repeats.is_some());
         let conn = request.conn;
         self.handles.insert(request.handle, id);
-        let call = CallState::new(self.past_asks.take(now, request.handle));
         let active = ActiveRequest {
             conn: Some(conn),
             handle: request.handle,
@@ -78,7 +77,7 @@
             repeats,
             waiters: Vec::new(),
             began: now,
-            call,
+            call: CallState::default(),
             route,
             pending: None,
             sent: SentCommands::default(),
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -39,19 +39,6 @@
 }
 
 impl CallState {
-    /// The state of a new request. `history` is that of an earlier request with the same handle.
-    pub(super) fn new(history: Option<CallHistory>) -> Self {
-        match history {
-            Some(history) => Self { was_tried: true, history, ..Self::default() },
-            None => Self::default(),
-        }
-    }
-
-    /// The history of a request that is over, if it made an ask.
-    pub(super) fn into_history(self) -> Option<CallHistory> {
-        self.was_tried.then_some(self.history)
-    }
-
     /// Whether the attempt with this number is in progress.
     pub(super) fn is_in_progress(&self, attempt: u32) -> bool {
         self.attempt == attempt && self.began.is_some()
--- a/src/core/delivery/pending.rs
+++ b/src/core/delivery/pending.rs
@@ -65,7 +65,7 @@
 
 impl SentCommands {
     /// Whether a launch was written.
-    pub(super) fn has_launched(self) -> bool {
+    pub(in crate::core) fn has_launched(self) -> bool {
         self.launches > 0
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,7 +19,7 @@
 mod end;
 mod error;
 pub mod keys;
-mod past_asks;
+mod past_runs;
 mod reload;
 mod reply;
 mod runs;
@@ -42,7 +42,7 @@
 pub use end::End;
 pub use error::CoreError;
 use keys::Keys;
-use past_asks::PastAsks;
+use past_runs::PastRuns;
 pub use reply::{AskId, CallReply, ReplyDigest, ReplyOrigin};
 pub use types::*;
 
@@ -127,7 +127,7 @@
     /// The number of the last attempt at a call, counted over all requests: a request that arrives again under the same
     /// handle gets other numbers.
     last_attempt: u32,
-    past_asks: PastAsks,
+    past_runs: PastRuns,
     /// Each call to the dependency has a connection of its own, so its reply cannot be confused with that to another
     /// call.
     has_dedicated_call_connections: bool,
@@ -177,7 +177,7 @@
             has_agent_greeted: false,
             agent_link: AgentLink::default(),
             last_attempt: 0,
-            past_asks: PastAsks::default(),
+            past_runs: PastRuns::default(),
             has_dedicated_call_connections: false,
             served_until: BTreeMap::new(),
             peer: succession::PeerState::default(),
--- /dev/null
+++ b/src/core/past_runs.rs
@@ -0,0 +1,44 @@
+//! The handles of requests that are over and may have run.
+//!
+//! A gateway sends a request again under the same id if the connection that it was sent on closes. Notices, replies and
+//! commands name a run by that id alone: what is said late about the first run would be taken for the second one's. So
+//! an id runs only once.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use super::types::Handle;
+
+/// How long a handle is kept after its request is over.
+const RETENTION: Duration = Duration::from_secs(10);
+/// How many handles are kept at most; beyond that, the oldest is dropped.
+const MAX_HANDLES: usize = 16_384;
+
+/// The handles of requests that are over and whose launch may have been read.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PastRuns {
+    /// Until when each handle is kept.
+    until: HashMap<Handle, Duration>,
+    /// When each handle is dropped, in order. An entry whose handle was kept again has no effect.
+    expiry: VecDeque<(Duration, Handle)>,
+}
+
+impl PastRuns {
+    /// Keeps the handle of a request that is over.
+    pub(super) fn keep(&mut self, now: Duration, handle: Handle) {
+        let until = now + RETENTION;
+        self.until.insert(handle, until);
+        self.expiry.push_back((until, handle));
+        while self.expiry.front().is_some_and(|(until, _)| *until <= now || self.expiry.len() > MAX_HANDLES) {
+            let Some((until, handle)) = self.expiry.pop_front() else { break };
+            if self.until.get(&handle) == Some(&until) {
+                self.until.remove(&handle);
+            }
+        }
+    }
+
+    /// Whether an earlier request with this handle may have run.
+    pub(super) fn contains(&self, now: Duration, handle: Handle) -> bool {
+        self.until.get(&handle).is_some_and(|until| *until > now)
+    }
+}
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -107,19 +107,11 @@
             _ => return,
         };
         if request.phase == Phase::Held {
-            if let Some(key) = request.key.clone() {
-                // The rule of one run for each key and window is enforced here too, independently of the decision
-                // module.
-                if !self.keys.start_run(&key, id) {
-                    self.counters.second_runs_barred += 1;
-                    self.events.push_back(Event::Finished {
-                        id,
-                        outcome: Outcome::NotStarted,
-                        took: Duration::ZERO,
-                    });
-                    self.answer_request(now, id, Verdict::Failed);
-                    return self.remove_request(now, id, None);
-                }
+            // The rule of one run for each key and window is enforced here too, independently of the decision module.
+            let key = request.key.clone();
+            let has_run = self.past_runs.contains(now, handle);
+            if has_run || key.is_some_and(|key| !self.keys.start_run(&key, id)) {
+                return self.bar_second_run(now, id);
             }
             self.counters.launched += 1;
         }
@@ -130,6 +122,14 @@
         self.send_run_command(id, command);
     }
 
+    /// Fails a request that must not be run, as another run of its id or key may have had its effect.
+    fn bar_second_run(&mut self, now: Duration, id: RequestId) {
+        self.counters.second_runs_barred += 1;
+        self.events.push_back(Event::Finished { id, outcome: Outcome::NotStarted, took: Duration::ZERO });
+        self.answer_request(now, id, Verdict::Failed);
+        self.remove_request(now, id, None);
+    }
+
     pub(super) fn preempt(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id).filter(|request| request.phase == Phase::Running)
         else {
@@ -204,8 +204,8 @@
             let key = key.clone();
             self.report_resolved_key(&key);
         }
-        if let Some(history) = request.call.into_history() {
-            self.past_asks.keep(now, request.handle, history);
+        if request.sent.has_launched() {
+            self.past_runs.keep(now, request.handle);
         }
         for waiter in request.waiters {
             self.end_join(now, waiter, result.clone());
