Send nothing that takes a run on after its request had its answer

A checker that forgets a request's calls at its answer sees a reply made for no call of it. Cause: link_greeted sends what waited for a link, whatever became of the request meanwhile, while Recovery abandons the same command in doubt. Change: send_run_command, the one place for commands about runs, drops deliver, forgo and thaw of an answered request; the agent ends its run at its call. Freeze, which stops the run, is sent as before, and a launch after the answer stays a violation.

--- a/src/core/delivery/mod.rs
+++ b/src/core/delivery/mod.rs
@@ -62,7 +62,12 @@
 
     /// Sends a command about a run, or keeps it for the next link, unless a rule forbids it.
     pub(super) fn send_run_command(&mut self, id: RequestId, command: Command) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        // The agent ends the run of an answered request at its call.
+        if request.conn.is_none() && command.continues_run() {
+            request.pending = None;
+            return;
+        }
         let context = CommandContext {
             sent: request.sent,
             is_answered: request.conn.is_none(),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -380,6 +380,11 @@
 }
 
 impl Command {
+    /// Whether it lets a run continue that waits for a call or is paused.
+    pub fn continues_run(&self) -> bool {
+        matches!(self, Self::Deliver { .. } | Self::Forgo { .. } | Self::Thaw { .. })
+    }
+
     /// The command's name on the wire and the run that it is about; `None` for a command that is about no run.
     pub fn name_and_handle(&self) -> Option<(&'static str, Handle)> {
         match self {
