Deliver no reply that is handled after its request is due

A reply that is read in time may wait for the reducer, or come in one batch with a timer, while the process stands still; it was delivered to a run whose client had given up. Change: call_ended treats a reply that is handled at or after the due time of its request as overdue. Measured: core::calls::a_reply_that_is_handled_after_its_request_is_due_is_not_delivered failed before and passes; core 100 passed.

--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -147,6 +147,11 @@
             return;
         };
         let Some(began) = request.call.began.take() else { return };
+        let is_over = now >= request.due;
+        let (end, reply) = match reply {
+            Some(_) if is_over => (End::Overdue, None),
+            reply => (end, reply),
+        };
         self.counters.call_ended(end);
         let outcome = match (end.outcome(), reply) {
             (Outcome::Done, Some(reply)) => {
--- a/tests/core/calls.rs
+++ b/tests/core/calls.rs
@@ -222,3 +222,13 @@
     request_call(&mut bench, 10_501, run, 20);
     assert_eq!((calls(&bench), counter(&bench, "calls_ambiguous")), (2, 0));
 }
+
+#[test]
+fn a_reply_that_is_handled_after_its_request_is_due_is_not_delivered() {
+    // Guards against a reply that waited for the reducer while the process stood still: the run's request is over.
+    let (mut bench, run) = at_first_call("queue-status", None);
+    let sent = end_call(&mut bench, 1_515, run, End::Complete, Some(b"one"));
+    assert_eq!(deliveries(&bench), 0, "{sent:?}");
+    bench.advance_to(1_600);
+    assert_eq!((bench.answers(1), counter(&bench, "call_overdue")), (vec![&Verdict::Failed], 1));
+}
