Write no reply to the agent once its request is due

Change: a deliver carries the due time of its request, and the link manager does not write it from then on; the log has a line for it.

--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -113,7 +113,7 @@
             let ask = AskId { handle, cursor, attempt: 1 };
             let commands = [
                 Command::Launch { handle, class, arg: body.clone(), timeout },
-                Command::Deliver { handle, cursor, reply: CallReply::read(ask, 1, body) },
+                Command::Deliver { handle, cursor, due: Duration::MAX, reply: CallReply::read(ask, 1, body) },
                 Command::Freeze { handle },
                 Command::Thaw { handle },
                 Command::Forgo { handle, cursor },
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -157,8 +157,8 @@
             (Outcome::Done, Some(reply)) => {
                 request.phase = Phase::Running;
                 request.call.history.replied(reply.origin.digest);
-                let cursor = request.call.cursor;
-                self.send_run_command(id, Command::Deliver { handle, cursor, reply });
+                let (cursor, due) = (request.call.cursor, request.due);
+                self.send_run_command(id, Command::Deliver { handle, cursor, due, reply });
                 Outcome::Done
             }
             (Outcome::Done, None) => Outcome::Error,
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -357,6 +357,8 @@
         handle: Handle,
         /// The number of the notice that requested the call. It is not sent.
         cursor: u64,
+        /// When the request is due: from then on its client has given up, and the reply must not be written.
+        due: Duration,
         /// The reply.
         reply: CallReply,
     },
--- a/src/net/agent/link_manager.rs
+++ b/src/net/agent/link_manager.rs
@@ -201,12 +201,18 @@
         }
     }
 
-    /// Queues a command for writing, if it is meant for this link and no reply that belongs to another call.
+    /// Queues a command for writing, if it is meant for this link and no reply that belongs to another call or comes too
+    /// late.
     fn queue(&mut self, link: &mut OpenLink, outgoing: &OutgoingCommand, out: &mut String) {
         if outgoing.link != link.id {
             link.dropped += 1;
             return;
         }
+        if outgoing.is_too_late(self.hub.clock.now()) {
+            let late = RequestEvent::of_late_reply(&outgoing.command, link.id, outgoing.number);
+            late.into_iter().for_each(|event| self.hub.request_log.record(event));
+            return;
+        }
         match self.reply_guard.check(outgoing, link.last_queued) {
             Ok(delivered) => {
                 link.encode(outgoing, out);
@@ -219,7 +225,7 @@
 
     /// Reports a reply that was withheld, with what it was read for and what it was to be written for.
     fn report_withheld(&self, outgoing: &OutgoingCommand, mismatch: ReplyMismatch) {
-        let Command::Deliver { handle, cursor, reply } = &outgoing.command else { return };
+        let Command::Deliver { handle, cursor, reply, .. } = &outgoing.command else { return };
         let (link, number) = (outgoing.link, outgoing.number);
         let log = &self.hub.request_log;
         log.report_violation(*handle, format!("a reply was withheld: {mismatch}"));
--- a/src/net/agent/mod.rs
+++ b/src/net/agent/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use may::sync::mpsc::{channel, Sender};
 
@@ -34,6 +35,13 @@
     pub command: Command,
 }
 
+impl OutgoingCommand {
+    /// Whether the command is a reply to a run whose request is due: the process may have stood still since it was sent.
+    fn is_too_late(&self, now: Duration) -> bool {
+        matches!(self.command, Command::Deliver { due, .. } if now >= due)
+    }
+}
+
 /// An event that the link manager handles.
 enum LinkEvent {
     /// A command is to be written.
--- a/src/net/agent/reply_guard.rs
+++ b/src/net/agent/reply_guard.rs
@@ -38,7 +38,7 @@
         outgoing: &OutgoingCommand,
         last_number: u64,
     ) -> Result<Option<RequestEvent>, ReplyMismatch> {
-        let Command::Deliver { handle, cursor, reply } = &outgoing.command else { return Ok(None) };
+        let Command::Deliver { handle, cursor, reply, .. } = &outgoing.command else { return Ok(None) };
         let digest = ReplyDigest::of(&reply.body);
         if let Some(mismatch) = self.mismatch(*handle, *cursor, reply, digest) {
             return Err(mismatch);
--- a/src/net/agent/reply_guard_tests.rs
+++ b/src/net/agent/reply_guard_tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the last check of replies.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use super::reply_guard::{ReplyGuard, ReplyMismatch};
@@ -14,14 +16,18 @@
 fn delivery(number: u64) -> OutgoingCommand {
     let (handle, cursor) = (handle(1), 7);
     let reply = CallReply::read(AskId { handle, cursor, attempt: 2 }, 5, Bytes::from(*b"reply"));
-    OutgoingCommand { link: LinkId(3), number, command: Command::Deliver { handle, cursor, reply } }
+    OutgoingCommand {
+        link: LinkId(3),
+        number,
+        command: Command::Deliver { handle, cursor, due: Duration::MAX, reply },
+    }
 }
 
 fn with_delivery(
     change: impl FnOnce(&mut Handle, &mut u64, &mut CallReply),
     mut outgoing: OutgoingCommand,
 ) -> OutgoingCommand {
-    if let Command::Deliver { handle, cursor, reply } = &mut outgoing.command {
+    if let Command::Deliver { handle, cursor, reply, .. } = &mut outgoing.command {
         change(handle, cursor, reply);
     }
     outgoing
@@ -69,3 +75,16 @@
     let outgoing = OutgoingCommand { link: LinkId(3), number: 1, command: Command::Sync };
     assert!(ReplyGuard::default().check(&outgoing, 8).is_ok_and(|entry| entry.is_none()));
 }
+
+#[test]
+fn a_reply_is_too_late_once_its_request_is_due() {
+    // Guards against a process that stood still between the order to write a reply and its writing.
+    let second = Duration::from_secs(1);
+    let mut outgoing = delivery(9);
+    if let Command::Deliver { due, .. } = &mut outgoing.command {
+        *due = second;
+    }
+    assert!(!outgoing.is_too_late(second - Duration::from_micros(1)) && outgoing.is_too_late(second));
+    let other = OutgoingCommand { command: Command::Sync, ..outgoing };
+    assert!(!other.is_too_late(second));
+}
--- a/src/net/request_log.rs
+++ b/src/net/request_log.rs
@@ -36,6 +36,8 @@
     Replied { origin: ReplyOrigin, len: usize, left: Duration },
     /// A reply was queued for writing to the agent.
     Delivered { origin: ReplyOrigin, digest: ReplyDigest, link: LinkId, number: u64 },
+    /// A reply was not written, as its request was due.
+    TooLate { ask: AskId, link: LinkId, number: u64 },
     /// An ask ended without a reply for its run.
     Ended {
         ask: AskId,
@@ -70,6 +72,12 @@
         Some(Self::Commanded { handle, command, link, number })
     }
 
+    /// The event of a reply that is not written, as its request is due.
+    pub(super) fn of_late_reply(command: &Command, link: LinkId, number: u64) -> Option<Self> {
+        let Command::Deliver { reply, .. } = command else { return None };
+        Some(Self::TooLate { ask: reply.origin.ask, link, number })
+    }
+
     /// The event of a notice about a run; `None` for any other notice.
     pub(super) fn of_notice(notice: &Notice, link: LinkId, cursor: u64) -> Option<Self> {
         let (handle, notice) = match notice {
@@ -86,6 +94,7 @@
             Self::Noticed { handle, .. } | Self::Commanded { handle, .. } => *handle,
             Self::Replied { origin, .. } | Self::Delivered { origin, .. } => origin.ask.handle,
             Self::Asked { ask, .. }
+            | Self::TooLate { ask, .. }
             | Self::Ended { ask, .. }
             | Self::EarlyBytes { ask, .. }
             | Self::Ignored { ask, .. } => ask.handle,
@@ -99,7 +108,9 @@
                 false
             }
             Self::Replied { left, .. } => *left < SHORT_TIME_LEFT,
-            Self::Ended { .. } | Self::EarlyBytes { .. } | Self::Ignored { .. } => true,
+            Self::TooLate { .. } | Self::Ended { .. } | Self::EarlyBytes { .. } | Self::Ignored { .. } => {
+                true
+            }
         }
     }
 }
@@ -123,6 +134,9 @@
                 let ask = origin.ask;
                 write!(f, "{ask} reply {digest} queued as command {number} of link {link}")
             }
+            Self::TooLate { ask, link, number } => {
+                write!(f, "{ask} reply not written as command {number} of link {link}: its request is due")
+            }
             Self::Ended { ask, connection, end, is_cancelled, elapsed } => {
                 write!(f, "{ask} connection {} ", connection.unwrap_or_default())?;
                 let cancelled = if *is_cancelled { " cancelled" } else { "" };
--- a/src/net/request_log/tests.rs
+++ b/src/net/request_log/tests.rs
@@ -34,6 +34,7 @@
         replied(elapsed),
         RequestEvent::Delivered { origin, digest, link, number },
         RequestEvent::Ended { ask: ask(), connection: Some(LARGE), end, is_cancelled: true, elapsed },
+        RequestEvent::TooLate { ask: ask(), link, number },
         RequestEvent::EarlyBytes { ask: ask(), connection: LARGE },
         ignored,
     ];
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -163,7 +163,7 @@
             fence: None,
         }],
     );
-    assert!(sends(&bench.effects, &Command::Deliver { handle: first, cursor: 1, reply }));
+    assert!(sends(&bench.effects, &Command::Deliver { handle: first, cursor: 1, due: ms(1_510), reply }));
 
     let second = bench.send(30, "queue-prefs", None);
     bench.notice(40, need(second, 7));
--- a/tests/program/payloads.rs
+++ b/tests/program/payloads.rs
@@ -178,7 +178,12 @@
             arg: bodies()[1].clone().into(),
             timeout: std::time::Duration::from_secs(1),
         },
-        Command::Deliver { handle, cursor: 1, reply: CallReply::read(ask, 1, bodies()[4].clone().into()) },
+        Command::Deliver {
+            handle,
+            cursor: 1,
+            due: std::time::Duration::MAX,
+            reply: CallReply::read(ask, 1, bodies()[4].clone().into()),
+        },
         Command::Forgo { handle, cursor: 12_345 },
         Command::Freeze { handle },
         Command::Sample { ticket: 12 },
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -159,7 +159,7 @@
         // The encoder for commands to the agent provides the base64 text of the notice.
         let mut out = String::new();
         let reply = CallReply::read(AskId { handle, cursor, attempt: 1 }, 1, body.clone());
-        agent::encode(LinkId(1), &Command::Deliver { handle, cursor, reply }, &mut out);
+        agent::encode(LinkId(1), &Command::Deliver { handle, cursor, due: Duration::MAX, reply }, &mut out);
         let line = out.replace("\"deliver\"", &format!("\"request\",\"cursor\":{cursor}"));
         let (number, notice) = agent::parse(line.trim_end()).unwrap();
         prop_assert_eq!(number, Some(cursor));
