--- a/tests/search/main.rs
+++ b/tests/search/main.rs
@@ -10,7 +10,7 @@
 use peers::Word;
 use rstest::rstest;
 use stateright::{Checker, Model};
-use world::{Bounds, ANSWERED_AGAIN, BOTH_REPLIES, REPLY_IN_DOUBT, STARTED_AGAIN};
+use world::{Bounds, ANSWERED_AGAIN, BOTH_REPLIES, BY_ASK, REPLY_IN_DOUBT, STARTED_AGAIN};
 
 /// One request, whose run makes two calls, and nothing goes wrong.
 const ONE: Bounds = Bounds {
@@ -23,6 +23,7 @@
     refusals: 0,
     strays: 0,
     broken_calls: 0,
+    recants: false,
     waits: &[],
 };
 const KEYED: Bounds = Bounds { requests: &[("lobby-confirm", 2)], ..ONE };
@@ -75,6 +76,21 @@
     explore(bounds, reached);
 }
 
+/// The search finds a wrong reply where there is one: PROTOCOL has it that a word ends its ask.
+#[rstest]
+#[case::refused(&[Word::Yes, Word::NotNow], true)]
+#[case::failed(&[Word::Yes, Word::Failed], true)]
+#[case::pointless(&[Word::Yes, Word::Pointless], true)]
+#[case::overdue(&[Word::Yes, Word::Overdue], false)]
+fn a_reply_behind_another_word_about_its_ask_reaches_a_run_if_that_word_allows_a_further_ask(
+    #[case] words: &'static [Word],
+    #[case] is_reached: bool,
+) {
+    let bounds = Bounds { words, refusals: 1, strays: 1, recants: true, waits: &[120], ..ONE };
+    let checker = bounds.checker().spawn_bfs().join();
+    assert_eq!(checker.discoveries().contains_key(BY_ASK), is_reached);
+}
+
 #[test]
 fn an_id_that_is_sent_again_is_answered_in_every_order() {
     explore(Bounds { sends: 2, ..ONE }, &[ANSWERED_AGAIN]);
--- a/tests/search/world.rs
+++ b/tests/search/world.rs
@@ -49,6 +49,8 @@
     /// Words that come again, or over the connection of a later ask of the request.
     pub strays: u8,
     pub broken_calls: u8,
+    /// The dependency may say `yes` about an ask behind another word, which PROTOCOL excludes.
+    pub recants: bool,
     /// The waits in milliseconds, which may happen in this order.
     pub waits: &'static [u64],
 }
@@ -449,7 +451,10 @@
                 }
                 let may_refuse = self.used.refusals < bounds.refusals;
                 let first = bounds.words.iter().filter(|word| **word == Word::Yes || may_refuse);
-                let words: Vec<_> = ask.word.map_or_else(|| first.copied().collect(), |word| vec![word]);
+                let mut words: Vec<_> = ask.word.map_or_else(|| first.copied().collect(), |word| vec![word]);
+                if bounds.recants && ask.word.is_some_and(|word| word != Word::Yes) {
+                    words.push(Word::Yes);
+                }
                 actions.extend(words.into_iter().map(|word| Action::Say(index, word, over)));
             }
         }
