--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -861,24 +861,23 @@
 /// Everything that a case gets from its script.
 pub struct Case {
     pub root: PathBuf,
-    pub folder: PathBuf,
     pub tmp: PathBuf,
     pub record: Record,
     pub trouble: bool,
 }
 
 impl Case {
-    /// Reads `CASE_ROOT`, `CASE_FOLDER`, `CASE_TMP` and `TROUBLE`, and ends the case after 115 s in any event.
+    /// Reads `CASE_ROOT`, `CASE_RECORD`, `CASE_TMP` and `TROUBLE`, and ends the case after 115 s in any event.
     pub fn from_env() -> Self {
         let path = |name: &str| PathBuf::from(std::env::var_os(name).unwrap_or_else(|| unable(&format!("{name} is not set"))));
-        let (root, folder, tmp) = (path("CASE_ROOT"), path("CASE_FOLDER"), path("CASE_TMP"));
+        let (root, tmp) = (path("CASE_ROOT"), path("CASE_TMP"));
         let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
-        let record = Record::create(&folder.join("record.txt"));
+        let record = Record::create(&path("CASE_RECORD"));
         thread::spawn(|| {
             thread::sleep(ms(112_000));
             unable("it took too long");
         });
-        Self { root, folder, tmp, record, trouble }
+        Self { root, tmp, record, trouble }
     }
 
     /// Writes a configuration file, in one step.
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,7 +9,7 @@
 fi
 tmp=$(mktemp -d) || exit 2
 trap 'rm -rf "$tmp"' EXIT
-CASE_ROOT=$root CASE_FOLDER=$here CASE_TMP=$tmp "$case"
+CASE_ROOT=$root CASE_RECORD=${CASE_RECORD:-$here/record.txt} CASE_TMP=$tmp "$case"
 code=$?
 [ $code -eq 0 ] || [ $code -eq 1 ] || code=2
 exit $code
