Forget the tries of a key when they are answered, not at the end of its window

Cause: the decision module kept every try in its key's group (`tries`, `group_of`), with one check for each arrival (`checks`), until up to twice the client timeout or the window later. Nothing removed a try that was answered, and `KeyGroups::add` walked all tries of the group at each arrival.

Change: a try is forgotten after the batch in which it ended, unless a later one may still name it: the one that was started, the one that is assumed to have run, the holder of the entry. A group without tries goes with its last one, and has at most one check. So the number of tries is bounded by the open requests and the remembered keys. The console shows `key_tries`.

Failing before (with the new count alone): rules::refused_tries_of_keys_are_forgotten_when_they_are_answered (500 for 0), rules::answered_repeats_of_a_key_that_ran_are_forgotten_when_they_are_answered (500 for 1).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -341,6 +341,7 @@
             ("passed_on", self.deadlines.forwarded().len().to_string()),
             ("awaited", self.peer.awaited().to_string()),
             ("keys", self.keys.len().to_string()),
+            ("key_tries", self.engine.key_try_count().to_string()),
             ("classes", self.site.class_names.len().to_string()),
             ("timers", self.timers.len().to_string()),
             ("signal", self.signal.map_or("none".to_string(), |s| format!("{s:.4}"))),
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -235,6 +235,7 @@
         self.start_queued(&queue, actions);
         self.shed_memory(&queue, actions);
         self.shed(&queue, actions);
+        self.forget_ended_tries();
         self.update_signal(actions);
     }
 
@@ -345,7 +346,7 @@
         } else if outcome.never_ran() && r.phase == Phase::Running {
             // Nothing began: another try with its key may run.
             let group = self.key_groups.group_of.get(&id).and_then(|g| self.key_groups.groups.get_mut(g));
-            group.into_iter().for_each(|g| g.started = false);
+            group.into_iter().for_each(|g| g.started = None);
         }
         self.remove(id);
     }
--- a/src/decisions/guards.rs
+++ b/src/decisions/guards.rs
@@ -126,6 +126,7 @@
         self.set_phase(id, Phase::Held);
         self.calls.end(id, self.now, self.settings.call_linger);
         self.held.remove(&id);
+        self.key_groups.try_ended(id);
         self.memory = self.memory.saturating_sub(self.requests.remove(&id).map_or(0, |r| r.size));
     }
 
--- a/src/decisions/keys.rs
+++ b/src/decisions/keys.rs
@@ -9,8 +9,12 @@
 /// The tries of one deduplicated request, which share its key.
 #[derive(Clone, Debug, Default)]
 pub(super) struct KeyGroup {
+    /// The tries that are active, and those that a later try may name as the one that it repeats: the one that was
+    /// started, the one that is assumed to have run, and the one that has the key's entry. Each active try belongs to a
+    /// client's connection, so that there is a bound on their number.
     pub(super) tries: Vec<RequestId>,
-    pub(super) started: bool,
+    /// The try that was started.
+    pub(super) started: Option<RequestId>,
     /// A try that another one repeats and that never arrived here. It is assumed to have run, and what was known
     /// about it to be forgotten, unless it still arrives.
     unseen: Option<RequestId>,
@@ -19,12 +23,19 @@
     /// When the first try that was seen here arrived.
     pub(super) first_arrival: Option<Duration>,
     forget_at: Duration,
+    /// The time of the group's check, if one is scheduled.
+    check_at: Option<Duration>,
 }
 
 impl KeyGroup {
     /// Whether one of the tries was started, or must be assumed to have been.
     pub(super) fn ran(&self) -> bool {
-        self.started || self.unseen.is_some()
+        self.started.or(self.unseen).is_some()
+    }
+
+    /// Whether a later try may name this one as the one that it repeats, although it is over.
+    fn may_be_named(&self, id: RequestId) -> bool {
+        [self.started, self.unseen, self.entry.map(|(holder, _)| holder)].contains(&Some(id))
     }
 }
 
@@ -34,8 +45,10 @@
     pub(super) groups: BTreeMap<RequestId, KeyGroup>,
     /// The group of each try.
     pub(super) group_of: BTreeMap<RequestId, RequestId>,
-    /// When to check whether a group can be forgotten.
-    pub(super) checks: BTreeSet<(Duration, RequestId)>,
+    /// When to check whether a group can be forgotten; at most one check for each.
+    checks: BTreeSet<(Duration, RequestId)>,
+    /// Tries that ended, or lost their part in a group, since the last decision.
+    ended: Vec<RequestId>,
 }
 
 impl KeyGroups {
@@ -50,18 +63,64 @@
         let group = named.or(own).unwrap_or(id);
         let merged = own.filter(|o| *o != group).and_then(|o| self.groups.remove(&o)).unwrap_or_default();
         let g = self.groups.entry(group).or_default();
-        g.started |= merged.started;
+        g.started = g.started.or(merged.started);
         g.unseen = g.unseen.or(merged.unseen).filter(|u| *u != id);
         g.tries.extend(&merged.tries);
+        self.group_of.extend(merged.tries.iter().map(|t| (*t, group)));
+        if let Some(at) = merged.check_at {
+            self.checks.remove(&(at, own.unwrap_or(group)));
+        }
         if let Some(r) = repeats.filter(|_| named.is_none()) {
             g.tries.push(r);
             g.unseen = Some(r);
+            self.group_of.insert(r, group);
         }
         g.tries.retain(|t| *t != id);
         g.tries.push(id);
-        self.group_of.extend(g.tries.iter().map(|t| (*t, group)));
+        self.group_of.insert(id, group);
         group
     }
+
+    /// Schedules the check of a group, unless an earlier one is scheduled.
+    fn schedule_check(&mut self, group: RequestId, at: Duration) {
+        let Some(g) = self.groups.get_mut(&group) else { return };
+        if g.check_at.is_some_and(|scheduled| scheduled <= at) {
+            return;
+        }
+        if let Some(later) = g.check_at.replace(at) {
+            self.checks.remove(&(later, group));
+        }
+        self.checks.insert((at, group));
+    }
+
+    /// Returns a group whose check is due before `now`, with the time of the check, which is no longer scheduled.
+    fn take_check(&mut self, now: Duration) -> Option<(Duration, RequestId)> {
+        let (at, group) = self.checks.first().copied().filter(|(at, _)| *at < now)?;
+        self.checks.remove(&(at, group));
+        self.groups.get_mut(&group).into_iter().for_each(|g| g.check_at = None);
+        Some((at, group))
+    }
+
+    /// Forgets a group.
+    fn remove(&mut self, group: RequestId) {
+        let Some(gone) = self.groups.remove(&group) else { return };
+        if let Some(at) = gone.check_at {
+            self.checks.remove(&(at, group));
+        }
+        gone.tries.iter().for_each(|id| _ = self.group_of.remove(id));
+    }
+
+    /// Records that a try has ended, or that it has no longer the part for which it was kept.
+    pub(super) fn try_ended(&mut self, id: RequestId) {
+        if self.group_of.contains_key(&id) {
+            self.ended.push(id);
+        }
+    }
+
+    /// Number of tries that are remembered.
+    pub(super) fn try_count(&self) -> usize {
+        self.group_of.len()
+    }
 }
 
 impl DecisionEngine {
@@ -79,11 +138,37 @@
         g.first_arrival = Some(g.first_arrival.unwrap_or(arrived).min(arrived));
         g.forget_at = g.forget_at.max(arrived + window * 2);
         let ends = arrived + window + TICK;
-        self.key_groups.checks.insert(((ends + TICK).min(arrived + client_timeout * 2), group));
         if !g.ran() && ends > self.now {
-            self.memory += if g.entry.replace((a.id, ends)).is_none() { self.settings.key_size() } else { 0 };
+            let previous = g.entry.replace((a.id, ends));
+            self.memory += if previous.is_none() { self.settings.key_size() } else { 0 };
+            previous.into_iter().for_each(|(holder, _)| self.key_groups.try_ended(holder));
             actions.push(Action::RememberKey { id: a.id, lifetime: ends - self.now });
         }
+        self.key_groups.schedule_check(group, (ends + TICK).min(arrived + client_timeout * 2));
+    }
+
+    /// Number of tries that are remembered for their keys.
+    pub fn key_try_count(&self) -> usize {
+        self.key_groups.try_count()
+    }
+
+    /// Forgets the tries that have ended and that no later try can name, and the groups that have no other. It is called
+    /// after a batch of events, since the tries of one batch may name each other.
+    pub(super) fn forget_ended_tries(&mut self) {
+        for id in std::mem::take(&mut self.key_groups.ended) {
+            let Some(&group) = self.key_groups.group_of.get(&id).filter(|_| !self.requests.contains_key(&id))
+            else {
+                continue;
+            };
+            let Some(g) = self.key_groups.groups.get_mut(&group).filter(|g| !g.may_be_named(id)) else {
+                continue;
+            };
+            g.tries.retain(|t| *t != id);
+            self.key_groups.group_of.remove(&id);
+            if g.tries.is_empty() {
+                self.key_groups.remove(group);
+            }
+        }
     }
 
     /// Whether a try with the key of this request ran, or must be assumed to have run.
@@ -108,7 +193,7 @@
         else {
             return;
         };
-        g.started = true;
+        g.started = Some(id);
         let joins =
             |t: &RequestId| self.requests.get(t).is_some_and(|r| r.is_repeat && r.phase == Phase::Held);
         let others: Vec<_> = g.tries.iter().copied().filter(joins).collect();
@@ -122,28 +207,30 @@
         let Some(g) = group.filter(|g| !g.ran() && !waits(g)) else { return };
         if let Some((holder, _)) = g.entry.take() {
             self.memory = self.memory.saturating_sub(self.settings.key_size());
+            self.key_groups.try_ended(holder);
             actions.push(Action::ForgetKey(holder));
         }
     }
 
     /// Removes expired keys, and forgets key groups that no later try can name.
     pub(super) fn expire_keys(&mut self) {
-        while let Some(&(at, group)) = self.key_groups.checks.first().filter(|(at, _)| *at < self.now) {
-            self.key_groups.checks.remove(&(at, group));
+        while let Some((at, group)) = self.key_groups.take_check(self.now) {
             let Some(g) = self.key_groups.groups.get_mut(&group) else { continue };
             // A try that is still active may outlast a short window. No later try names one that ended without a run.
             if g.tries.iter().any(|t| self.requests.contains_key(t)) {
-                self.key_groups.checks.insert((self.now + TICK, group));
+                self.key_groups.schedule_check(group, self.now + TICK);
                 continue;
             }
-            if g.entry.take_if(|(_, ends)| *ends + TICK < self.now).is_some() {
+            if let Some((holder, _)) = g.entry.take_if(|(_, ends)| *ends + TICK < self.now) {
                 self.memory = self.memory.saturating_sub(self.settings.key_size());
+                self.key_groups.try_ended(holder);
             }
+            let Some(g) = self.key_groups.groups.get(&group) else { continue };
             if g.entry.is_none() && (!g.ran() || g.forget_at <= at) {
-                let gone = self.key_groups.groups.remove(&group).unwrap_or_default();
-                gone.tries.iter().for_each(|id| _ = self.key_groups.group_of.remove(id));
+                self.key_groups.remove(group);
             } else {
-                self.key_groups.checks.insert((g.entry.map_or(g.forget_at, |(_, ends)| ends + TICK), group));
+                let next = g.entry.map_or(g.forget_at, |(_, ends)| ends + TICK);
+                self.key_groups.schedule_check(group, next);
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -421,3 +421,55 @@
     host.arrive(2, 1, |a| a.repeats = Some(1));
     assert!(host.issued(&Action::Join(2)) && host.answer_count(2) == 0, "{:?}", host.actions);
 }
+
+#[test]
+fn refused_tries_of_keys_are_forgotten_when_they_are_answered() {
+    // Guards against clients that send keyed requests again as soon as they are refused: each try was remembered for up
+    // to twice the client timeout, and filled the memory.
+    let mut settings = keyed_settings();
+    settings.memory_kb = 1.0; // No request fits, so that none runs.
+    let mut host = TestHost::new(settings);
+    for id in 1..=500 {
+        host.arrive(id, 1, |_| ());
+        assert!(host.answer_count(id) == 1, "try {id} is held");
+    }
+    assert_eq!(host.engine.key_try_count(), 0);
+}
+
+#[test]
+fn answered_repeats_of_a_key_that_ran_are_forgotten_when_they_are_answered() {
+    // Guards against a client that repeats the key of a run at full speed: each repeat was remembered, and made the next
+    // one take longer.
+    let mut host = TestHost::new(keyed_settings());
+    host.arrive(1, 1, |_| ());
+    host.event(Event::Finished { id: 1, outcome: Outcome::Done, took: ms(0) });
+    for id in 2..=500 {
+        host.arrive(id, 1, |a| a.repeats = Some(1));
+        assert!(host.issued(&Action::Join(id)), "repeat {id} is not joined to the run");
+        host.event(Event::Finished { id, outcome: Outcome::Done, took: ms(0) });
+    }
+    assert_eq!(host.engine.key_try_count(), 1, "the try that ran");
+    host.advance(21_000);
+    assert_eq!(host.engine.key_try_count(), 0);
+}
+
+#[test]
+fn a_try_that_ended_is_remembered_while_a_later_one_can_name_it() {
+    // Guards against the forgetting of the tries by which later ones are recognized as repeats of a run.
+    let mut host = TestHost::new(keyed_settings());
+    host.fill_cores();
+    host.arrive(1, 1, |_| ());
+    host.arrive(2, 1, |a| a.repeats = Some(1));
+    host.event(Event::Withdrawn { id: 2 });
+    assert!(!host.issued(&Action::Start(1)), "no core is free");
+    host.event(Event::Finished { id: 1_000, outcome: Outcome::Done, took: ms(0) });
+    assert!(host.issued(&Action::Start(1)));
+    // The withdrawn try had the entry of the key.
+    host.event(Event::Finished { id: 1, outcome: Outcome::Error, took: ms(0) });
+    for (id, named) in [(3, 2), (4, 1)] {
+        host.arrive(id, 1, |a| a.repeats = Some(named));
+        host.advance(60);
+        assert!(host.issued(&Action::Join(id)), "try {id} is not joined to the run");
+        host.event(Event::Finished { id, outcome: Outcome::Error, took: ms(0) });
+    }
+}
