Share an operator's drain between both processes of an upgrade, or refuse it

Cause: the order set `Core::standby` of the process that was asked. The other process answers health checks too and learns of a standby at the end of the keys alone.

Change: an order is passed on to every other process of the matcher, never back, and is confirmed once the others have been told; where one lives and cannot be told, or this process has not taken over, the answer is 503 with what to do. The line is the one that ends the keys ("complete 0|1"), so an earlier version understands a drain; it takes no undrain. Passing on was preferred to refusing, as the old process's door is the one that operators have configured. SIGHUP was looked at: each process reads its own file, and nothing is confirmed.

Failing before: upgrade::an_order_to_one_process_of_an_upgrade_holds_in_both_and_when_the_old_one_has_ended (drain at either process), upgrade::a_process_that_has_not_taken_over_refuses_orders_to_drain. The fuzz target of two processes passes the orders on as well.

Measured: both pass, 18 of 18 tests of `upgrade`. Not measured: an upgrade to an earlier version.

--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -234,6 +234,9 @@
                 }
             }
             Effect::HandOver { keys, standby } => self.say(n, &HandoverMessage::Keys(keys, standby)),
+            Effect::ShareStandby { standby, with, .. } => {
+                with.iter().for_each(|_| self.say(n, &HandoverMessage::Standby(standby)));
+            }
             Effect::Forward(request) => self.say(n, &HandoverMessage::Request(request)),
             Effect::KeyResolved { key, ran, result } => {
                 self.say(n, &HandoverMessage::KeyResolved(key, ran, result))
@@ -483,6 +486,17 @@
         }
     }
 
+    /// What the process `n` hears, by the process that it comes from.
+    fn named(&self, n: usize, heard: ReceivedMessage) -> ReceivedMessage {
+        let peer = if n == 0 { Peer::Successor } else { Peer::Predecessor };
+        match heard {
+            ReceivedMessage::Succession(event) => {
+                ReceivedMessage::Succession(handover::with_source(event, peer, self.pipe.complete))
+            }
+            request => request,
+        }
+    }
+
     /// A process is gone; of what it had said to the other one, the first `heard` lines are still read.
     fn end(&mut self, n: usize, heard: usize) {
         let node = &mut self.nodes[n];
@@ -524,7 +538,7 @@
             for n in 0..self.nodes.len() {
                 let Some(told) = self.pipe.to[n].pop_front() else { continue };
                 let heard = match told {
-                    Told::Line(line) => handover::parse(&line).expect("a word"),
+                    Told::Line(line) => self.named(n, handover::parse(&line).expect("a word")),
                     Told::Is(word) => ReceivedMessage::Succession(word),
                 };
                 match &heard {
@@ -748,7 +762,7 @@
             }
             _ => {
                 let input = match pick % 3 {
-                    0 => Input::Standby(pick & 4 == 4),
+                    0 => Input::Standby { standby: pick & 4 == 4, ticket: 1 },
                     1 => Input::AnswerWriteFailed(End::Stalled),
                     _ => Input::Query { ticket: 1, query: Query::Status },
                 };
--- a/src/console.rs
+++ b/src/console.rs
@@ -226,6 +226,10 @@
         ConsoleCommand::Counters => query_server(Query::Counters),
         ConsoleCommand::Settings => settings.to_vec(),
         ConsoleCommand::Certificate => describe_certificate(),
+        // Until this process has taken over, its predecessor serves, which this order would not reach.
+        ConsoleCommand::Drain if !handle.accepts_clients() => {
+            line("error", "this process has not taken over yet: repeat the command once it has")
+        }
         ConsoleCommand::Drain => {
             handle.drain();
             line("drain", "begun")
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -291,12 +291,7 @@
                 self.drain(now, signalled_at);
             }
             Input::Succession(message) => self.handle_succession(now, message),
-            Input::Standby(on) => {
-                if std::mem::replace(&mut self.standby, on) != on {
-                    let order = if on { "clients are kept away" } else { "clients are accepted again" };
-                    self.effects.push(Effect::Log(format!("ordered by operators: {order}")));
-                }
-            }
+            Input::Standby { standby, ticket } => self.order_standby(standby, None, Some(ticket)),
             Input::Reload { site, stop_after } => {
                 self.reload(now, *site);
                 self.update_stop_time(now, stop_after);
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -73,6 +73,7 @@
                 self.standby |= standby;
                 self.effects.push(Effect::Listen);
             }
+            Succession::StandbyChanged { by, standby } => self.order_standby(standby, Some(by), None),
             Succession::KeyResolved { key, ran, result } => {
                 self.resolve_predecessor_key(now, &key, ran, result)
             }
@@ -117,6 +118,21 @@
         }
     }
 
+    /// Carries out an order of operators that clients stay away or return. All processes of the matcher answer health
+    /// checks, so the order is passed on to the other ones: to all but the one that it came from.
+    pub(super) fn order_standby(&mut self, standby: bool, from: Option<Peer>, ticket: Option<u64>) {
+        if std::mem::replace(&mut self.standby, standby) != standby {
+            let order = if standby { "clients are kept away" } else { "clients are accepted again" };
+            self.effects.push(Effect::Log(format!("ordered by operators: {order}")));
+        }
+        // A successor that has not taken over yet gets the order with the keys.
+        let successor = self.peer.has_taken_over.then_some(Peer::Successor);
+        let predecessor = self.peer.has_all_keys.then_some(Peer::Predecessor);
+        let with =
+            [successor, predecessor].into_iter().flatten().filter(|peer| Some(*peer) != from).collect();
+        self.effects.push(Effect::ShareStandby { standby, with, ticket });
+    }
+
     /// Whether a successor that ended may have run keys that are unknown here and of which tries may still arrive or
     /// be read.
     fn may_lack_keys(&self, now: Duration) -> bool {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -159,8 +159,13 @@
     /// A message from the predecessor or the successor, or a change of their state.
     Succession(Succession),
     /// Operators want clients to stay away (`true`) or to return (`false`). Requests that arrive nevertheless are
-    /// served as usual.
-    Standby(bool),
+    /// served as usual. The order is answered by [`Effect::ShareStandby`].
+    Standby {
+        /// Clients are to stay away.
+        standby: bool,
+        /// Returned with the answer.
+        ticket: u64,
+    },
     /// The configuration was reloaded: classes and link addresses may have changed.
     Reload {
         /// The part of the configuration that the decision module needs.
@@ -219,6 +224,13 @@
         /// Operators want clients to stay away.
         standby: bool,
     },
+    /// After the handover, operators told a peer process that clients are to stay away or to return.
+    StandbyChanged {
+        /// The process that passed the order on.
+        by: Peer,
+        /// Clients are to stay away.
+        standby: bool,
+    },
     /// The last try of an open key has ended in the predecessor.
     KeyResolved {
         /// The key.
@@ -234,6 +246,15 @@
     PredecessorDisconnected,
 }
 
+/// A process of the same matcher during a handover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// The process from which this one took over.
+    Predecessor,
+    /// The process that took over from this one.
+    Successor,
+}
+
 /// A query that the reducer answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
@@ -506,6 +527,15 @@
         /// Operators want clients to stay away.
         standby: bool,
     },
+    /// Tell peer processes of a standby order, and answer the order: with yes once all of them have been told.
+    ShareStandby {
+        /// Clients are to stay away.
+        standby: bool,
+        /// The processes to tell.
+        with: Vec<Peer>,
+        /// The ticket of the order, if it came from this process's own operators.
+        ticket: Option<u64>,
+    },
     /// Forward a request to the successor.
     Forward(Box<Request>),
     /// Report to the successor what became of a key that was open when it was handed over.
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -18,6 +18,7 @@
 
 use may::net::TcpListener;
 use miette::Diagnostic;
+use thiserror::Error;
 use tracing::info;
 
 use super::decoder::{Following, Framing, MessageDecoder, ParsedHead, Scan};
@@ -42,6 +43,8 @@
 const MAX_SMALL_REQUEST: usize = 4096;
 /// The timeout of an order to the fleet.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(6);
+/// The timeout of a standby order, which has to be answered within a second.
+const STANDBY_TIMEOUT: Duration = Duration::from_millis(800);
 /// How often to check whether an order has been answered.
 const ORDER_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The highest number of header fields in a request.
@@ -302,12 +305,16 @@
             400
         }
         Ok(request @ (AdminRequest::Drain | AdminRequest::Undrain)) => {
-            if let Some(fleet) = &hub.fleet {
-                fleet.draining(request == AdminRequest::Drain);
+            match order_standby(hub, request == AdminRequest::Drain) {
+                Ok(()) => 200,
+                Err(refusal) => {
+                    body_text = Some(error_document(
+                        &refusal.to_string(),
+                        refusal.help().map(|help| help.to_string()).as_deref(),
+                    ));
+                    503
+                }
             }
-            // Inputs that are queued after this one, health checks included, are answered accordingly.
-            hub.push(Input::Standby(request == AdminRequest::Drain));
-            200
         }
         Err(status) => status,
     };
@@ -317,6 +324,36 @@
     }
 }
 
+/// Why a standby order is not carried out, or not by all processes of the matcher.
+#[derive(Clone, Copy, Debug, Error, Diagnostic, PartialEq, Eq)]
+pub enum StandbyError {
+    /// The predecessor serves the clients until it has handed over.
+    #[error("this process has not taken over yet")]
+    #[diagnostic(help("call the process that serves, or this one again once GET /ready says yes"))]
+    NotTakenOver,
+    /// Another process of this matcher answers health checks too, and cannot be told.
+    #[error("the order is not known to be in force in every process of this matcher")]
+    #[diagnostic(help("call again, or call the process that serves once the other one has ended"))]
+    NotShared,
+}
+
+/// Has clients stay away or return, in this process and in the other ones of this matcher.
+fn order_standby(hub: &Hub, standby: bool) -> Result<(), StandbyError> {
+    if !hub.accepts_clients.load(Ordering::Acquire) {
+        return Err(StandbyError::NotTakenOver);
+    }
+    if let Some(fleet) = &hub.fleet {
+        fleet.draining(standby);
+    }
+    // Inputs that are queued after this one, health checks included, are answered accordingly.
+    let (ticket, outcome) = hub.standby_orders.issue();
+    hub.push(Input::Standby { standby, ticket });
+    match hub.standby_orders.wait(ticket, &outcome, STANDBY_TIMEOUT) {
+        Some(true) => Ok(()),
+        Some(false) | None => Err(StandbyError::NotShared),
+    }
+}
+
 /// Executes an order; returns the status and body of the answer. It waits in a coroutine, for a limited time.
 fn execute_order(hub: &Hub, order: Order, operator: &str) -> (u16, String) {
     let result = match &hub.routing {
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -30,12 +30,12 @@
 use nix::unistd::Pid;
 use tracing::{info, warn};
 
-pub use wire::{parse, HandoverMessage, ReceivedMessage};
+pub use wire::{parse, with_source, HandoverMessage, ReceivedMessage};
 
 use super::frontend::read_some;
 use super::lines::{LineDecoder, LineEnd};
 use super::{socket_retry, Hub};
-use crate::core::{Answer, ConnId, Input, KeyState, Succession};
+use crate::core::{Answer, ConnId, Input, KeyState, Peer, Succession};
 
 /// How many messages to the peer process may be queued.
 const QUEUE_CAPACITY: usize = 4096;
@@ -67,13 +67,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Queues a message without waiting. Closes the link if the queue is full.
-    pub(super) fn send(&self, message: HandoverMessage) {
-        if let Some(link) = &*self.lock() {
-            if link.messages.try_send(message).is_err() {
-                let _ = link.stream.shutdown(Shutdown::Both);
-            }
+    /// Queues a message without waiting; returns false if there is no link. Closes the link if the queue is full.
+    pub(super) fn send(&self, message: HandoverMessage) -> bool {
+        let link = self.lock();
+        let Some(link) = &*link else { return false };
+        let is_queued = link.messages.try_send(message).is_ok();
+        if !is_queued {
+            let _ = link.stream.shutdown(Shutdown::Both);
         }
+        is_queued
     }
 
     /// Answers a request that was forwarded to this process. Returns false if `conn` does not belong to such a request.
@@ -81,7 +83,7 @@
         let peer_conn = self.lock().as_mut().and_then(|link| link.forwarded.remove(&conn));
         peer_conn
             .into_iter()
-            .for_each(|peer_conn| self.send(HandoverMessage::Answer(peer_conn, answer.clone())));
+            .for_each(|peer_conn| _ = self.send(HandoverMessage::Answer(peer_conn, answer.clone())));
         peer_conn.is_some()
     }
 
@@ -106,7 +108,8 @@
     }
 
     /// Passes messages of the peer process to the reducer until the link ends, then closes it.
-    fn read_messages(&self, stream: UnixStream, hub: &Hub) {
+    fn read_messages(&self, stream: UnixStream, peer: Peer, hub: &Hub) {
+        let mut has_all_keys = false;
         let mut lines = LineDecoder::new(MAX_LINE, LineEnd::LineFeed);
         loop {
             let line = match lines.next_line() {
@@ -123,11 +126,9 @@
             };
             match parse(&line) {
                 Ok(ReceivedMessage::Succession(event)) => {
-                    // If operators put the predecessor on standby, this process is on standby too. The fleet has to
-                    // learn that for the new incarnation.
-                    if let (Succession::KeysComplete { standby: true }, Some(fleet)) = (&event, &hub.fleet) {
-                        fleet.draining(true);
-                    }
+                    let event = with_source(event, peer, has_all_keys);
+                    has_all_keys |= matches!(event, Succession::KeysComplete { .. });
+                    tell_fleet_of_standby(&event, hub);
                     hub.push(Input::Succession(to_own_clock(event, hub)));
                 }
                 Ok(ReceivedMessage::Request(mut request)) => {
@@ -151,6 +152,17 @@
     }
 }
 
+/// If operators put the predecessor on standby, this process is on standby too. The fleet has to learn that for the new
+/// incarnation.
+fn tell_fleet_of_standby(event: &Succession, hub: &Hub) {
+    let Some(fleet) = &hub.fleet else { return };
+    match event {
+        Succession::KeysComplete { standby: true } => fleet.draining(true),
+        Succession::StandbyChanged { by: Peer::Predecessor, standby } => fleet.draining(*standby),
+        _ => {}
+    }
+}
+
 /// Converts the times in an event of the peer process from the wall clock to this process's clock.
 fn to_own_clock(event: Succession, hub: &Hub) -> Succession {
     match event {
@@ -243,7 +255,7 @@
             // good that the predecessor is running.
             hub.push(Input::Succession(Succession::PredecessorRunning));
             let pid = peer_pid(&reads);
-            predecessor.read_messages(reads, &hub);
+            predecessor.read_messages(reads, Peer::Predecessor, &hub);
             wait_for_exit(pid, &hub, Succession::PredecessorDisconnected, Succession::PredecessorExited);
         };
         thread::Builder::new().stack_size(STACK_SIZE).spawn(read)
@@ -284,7 +296,7 @@
             match stream.try_clone().and_then(|reads| peer.open(stream).map(|()| reads)) {
                 Ok(reads) => {
                     let pid = peer_pid(&reads);
-                    peer.read_messages(reads, &hub);
+                    peer.read_messages(reads, Peer::Successor, &hub);
                     wait_for_exit(pid, &hub, Succession::SuccessorDisconnected, Succession::SuccessorExited);
                     // Until the reducer has processed the exit, it may still send messages that are meant for the
                     // exited successor. They must not reach the next one.
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -98,8 +98,7 @@
     };
     successor.send(HandoverMessage::Keys(Vec::new(), false));
     // Now the reducer has processed both.
-    let waiting = query.and_then(|ticket| hub.queries().remove(&ticket));
-    waiting.into_iter().for_each(|reply_to| reply_to.send(Vec::new()).unwrap());
+    query.into_iter().for_each(|ticket| hub.queries.answer(ticket, Vec::new()));
     while !is_linked() {
         thread::sleep(EXIT_CHECK_INTERVAL);
     }
--- a/src/net/handover/wire.rs
+++ b/src/net/handover/wire.rs
@@ -10,7 +10,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 
-use crate::core::{Answer, Bytes, ConnId, Key, KeyState, Request, Succession, Verdict};
+use crate::core::{Answer, Bytes, ConnId, Key, KeyState, Peer, Request, Succession, Verdict};
 use crate::net::error::HandoverLineError;
 
 /// A message to the peer process.
@@ -20,6 +20,9 @@
     Begin,
     /// All keys of the predecessor, and whether operators have put it on standby.
     Keys(Vec<KeyState>, bool),
+    /// After the handover, operators have ordered that clients stay away or return. It is written like the end of the
+    /// keys, so that a process of an earlier version takes it as well: that one keeps clients away from then on.
+    Standby(bool),
     /// What became of a key that was open when it was handed over: the key, whether it ran, and the result of the run.
     KeyResolved(Key, bool, Option<Bytes>),
     /// A request that reached the predecessor after it had handed over.
@@ -28,6 +31,11 @@
     Answer(ConnId, Arc<Answer>),
 }
 
+/// The line that ends the keys, and that tells of a standby order after them.
+fn complete_line(standby: bool) -> String {
+    format!("complete {}\n", u8::from(standby))
+}
+
 /// Encodes a field: `-` stands for `None`.
 fn encode_base64(bytes: Option<&[u8]>) -> String {
     bytes.map_or("-".to_string(), |bytes| format!("={}", BASE64.encode(bytes)))
@@ -45,8 +53,9 @@
                         (k.until.as_micros(), u8::from(k.open), encode_base64(k.result.as_deref()));
                     format!("key {} {:x} {until} {open} {result}\n", key(&k.key), k.digest)
                 };
-                keys.iter().map(line).chain([format!("complete {}\n", u8::from(*standby))]).collect()
+                keys.iter().map(line).chain([complete_line(*standby)]).collect()
             }
+            Self::Standby(standby) => vec![complete_line(*standby)],
             Self::KeyResolved(k, ran, result) => {
                 vec![format!("settled {} {} {}\n", key(k), u8::from(*ran), encode_base64(result.as_deref()))]
             }
@@ -128,6 +137,17 @@
     Ok(ReceivedMessage::Succession(event))
 }
 
+/// Tells a standby order after the handover from the end of the keys, which is written in the same way: only the first
+/// such line of a predecessor ends the keys.
+pub fn with_source(event: Succession, peer: Peer, has_all_keys: bool) -> Succession {
+    match event {
+        Succession::KeysComplete { standby } if has_all_keys || peer == Peer::Successor => {
+            Succession::StandbyChanged { by: peer, standby }
+        }
+        event => event,
+    }
+}
+
 fn parse_answer(conn: &str, signal: &str, verdict: &[&str]) -> Result<Succession, HandoverLineError> {
     let verdict = match *verdict {
         ["served", result] => Verdict::Served(required_bytes("result", result)?),
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -1,7 +1,6 @@
 //! The hub: the state that the coroutines share with the reducer's thread. It holds the reducer's inbox, the table of
 //! client connections, and the settings and flags that the reducer publishes to the coroutines.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -14,6 +13,7 @@
 use super::close_counts::CloseCounts;
 use super::connection_table::{Admission, AnswerDue, Capacity, ConnectionTable};
 use super::listen::{ConnectionHandle, ConnectionSlot};
+use super::pending_answers::PendingAnswers;
 use super::request_log::RequestLog;
 use super::stream::Conn;
 use crate::core::{Answer, ConnId, Input, Query};
@@ -60,9 +60,12 @@
     pub(super) has_yielded: AtomicBool,
     /// Requests can be served: the agent has been up, or the server runs without one.
     pub(super) ready: AtomicBool,
-    /// Where the results of pending queries are sent, by ticket.
-    pub(super) queries: Mutex<HashMap<u64, Sender<QueryResult>>>,
-    pub(super) next_query: AtomicU64,
+    /// Clients connect to this process: it has no predecessor, or that one has handed over.
+    pub(super) accepts_clients: AtomicBool,
+    /// Queries whose results are awaited.
+    pub(super) queries: PendingAnswers<QueryResult>,
+    /// Standby orders whose outcome is awaited: whether the order is in force in all processes of this matcher.
+    pub(super) standby_orders: PendingAnswers<bool>,
     /// The addresses of the links, as of the last reading of the configuration.
     pub(super) links: Mutex<Links>,
     /// The connection to the fleet's membership, if this process is a member of a fleet.
@@ -116,8 +119,9 @@
             stopped_accepting_at: OnceLock::new(),
             has_yielded: AtomicBool::new(false),
             ready: AtomicBool::new(false),
-            queries: Mutex::default(),
-            next_query: AtomicU64::new(1),
+            accepts_clients: AtomicBool::new(false),
+            queries: PendingAnswers::default(),
+            standby_orders: PendingAnswers::default(),
             links: Mutex::new(links),
             fleet,
             routing,
@@ -170,12 +174,10 @@
         let _ = self.inbox.send(input);
     }
 
-    /// Sends a query to the reducer. Returns its ticket and the channel on which the result arrives; the caller removes
-    /// the ticket from the pending queries when it no longer waits.
+    /// Sends a query to the reducer. Returns its ticket and the channel on which the result arrives; the caller drops
+    /// the ticket when it no longer waits.
     pub(super) fn submit_query(&self, query: Query) -> (u64, Receiver<QueryResult>) {
-        let (sender, receiver) = std::sync::mpsc::channel();
-        let ticket = self.next_query.fetch_add(1, Ordering::Relaxed);
-        self.queries().insert(ticket, sender);
+        let (ticket, receiver) = self.queries.issue();
         self.push(Input::Query { ticket, query });
         (ticket, receiver)
     }
@@ -186,11 +188,7 @@
         let (ticket, result) = self.submit_query(Query::Status);
         // Receiving fails only while the process is exiting.
         let _ = result.recv();
-        self.queries().remove(&ticket);
-    }
-
-    pub(super) fn queries(&self) -> MutexGuard<'_, HashMap<u64, Sender<QueryResult>>> {
-        self.queries.lock().unwrap_or_else(PoisonError::into_inner)
+        self.queries.forget(ticket);
     }
 
     pub(super) fn connections(&self) -> MutexGuard<'_, ConnectionTable<ConnectionHandle>> {
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -1,6 +1,6 @@
 //! Renders all counters in the text format of Prometheus, for the admin endpoint.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -16,22 +16,12 @@
 
 /// The last line of a text.
 const EOF_LINE: &str = "# EOF\n";
-/// Interval at which the reducer's answer is polled.
-const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Renders all metrics. Returns `None` if the reducer does not answer within `timeout`. Must be called from a
 /// coroutine.
 pub(super) fn render(hub: &Hub, timeout: Duration) -> Option<String> {
     let (ticket, answer) = hub.submit_query(Query::Counters);
-    let since = Instant::now();
-    let lines = loop {
-        match answer.try_recv() {
-            Ok(lines) => break Some(lines),
-            Err(_) if since.elapsed() >= timeout => break None,
-            Err(_) => crate::net::spawn::sleep(POLL_INTERVAL),
-        }
-    };
-    hub.queries().remove(&ticket);
+    let lines = hub.queries.wait(ticket, &answer, timeout);
     let mut registry = Registry::with_prefix("hopwalk");
     let counters = lines?.into_iter().filter_map(|(name, n)| Some((name, n.parse().ok()?)));
     register_counters(&mut registry, "core", "Counted by the reducer since the start", counters);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,6 +24,7 @@
 mod lingering_close;
 mod listen;
 mod metrics;
+mod pending_answers;
 mod request_log;
 pub mod scgi;
 pub mod socket_retry;
@@ -43,7 +44,7 @@
 use tracing::{info, warn};
 
 use crate::acme::SharedCertificate;
-use crate::core::{AskId, Core, Effect, Input, KeyState, Query};
+use crate::core::{AskId, Core, Effect, Input, KeyState, Peer, Query};
 use crate::fleet;
 use crate::settings::{Config, Links};
 use call_routing::Router;
@@ -64,6 +65,11 @@
 pub struct NodeHandle(Arc<Hub>);
 
 impl NodeHandle {
+    /// Whether clients connect to this process. They do not while its predecessor has not handed over.
+    pub fn accepts_clients(&self) -> bool {
+        self.0.accepts_clients.load(Ordering::Acquire)
+    }
+
     /// Begins to drain.
     pub fn drain(&self) {
         // The grace period counts from here, and must not be delayed by a full inbox.
@@ -92,7 +98,7 @@
     pub fn query(&self, query: Query, timeout: Duration) -> Option<Vec<(String, String)>> {
         let (ticket, answer) = self.0.submit_query(query);
         let lines = answer.recv_timeout(timeout).ok();
-        self.0.queries().remove(&ticket);
+        self.0.queries.forget(ticket);
         lines
     }
 
@@ -243,6 +249,7 @@
             add("tls.listen", "HTTPS", address, listen(address, hub, shared, https))?;
         }
         self.frontends = frontends;
+        self.hub.accepts_clients.store(true, Ordering::Release);
         if let Some(path) = &self.config.handover {
             match handover::listen_for_successor(path, &self.hub) {
                 Ok(successor) => self.successor = successor,
@@ -260,7 +267,7 @@
                 // Requested once while this process waits for its lease, however often the agent sends greetings.
                 if self.hub.routing.is_none() || !std::mem::replace(&mut self.handover_requested, true) {
                     call_routing::when_ready(&self.hub, move || {
-                        predecessor.send(handover::HandoverMessage::Begin)
+                        predecessor.send(handover::HandoverMessage::Begin);
                     });
                 }
             }
@@ -276,6 +283,16 @@
         }
     }
 
+    /// Sends a standby order to a peer process. Returns false if that process lives and cannot be told.
+    fn send_standby(&self, peer: Peer, standby: bool) -> bool {
+        let message = handover::HandoverMessage::Standby(standby);
+        match (peer, &self.predecessor) {
+            (Peer::Successor, _) => self.successor.send(message),
+            (Peer::Predecessor, Some(predecessor)) => predecessor.send(message),
+            (Peer::Predecessor, None) => true,
+        }
+    }
+
     /// Returns a handle for other threads.
     pub fn handle(&self) -> NodeHandle {
         NodeHandle(self.hub.clone())
@@ -426,6 +443,12 @@
                     driver.release_record();
                 }
             }
+            Effect::ShareStandby { standby, with, ticket } => {
+                let is_shared = with.into_iter().all(|peer| self.send_standby(peer, standby));
+                if let Some(ticket) = ticket {
+                    self.hub.standby_orders.answer(ticket, is_shared);
+                }
+            }
             Effect::Forward(mut request) => {
                 request.start = self.hub.clock.to_wall(request.start);
                 self.successor.send(handover::HandoverMessage::Request(request));
@@ -462,9 +485,7 @@
                 self.hub.request_log.report_violation(handle, violation);
             }
             Effect::QueryResult { ticket, lines } => {
-                if let Some(requester) = self.hub.queries().remove(&ticket) {
-                    let _ = requester.send(lines);
-                }
+                self.hub.queries.answer(ticket, lines);
             }
         }
     }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -418,6 +418,8 @@
         decode(HandoverMessage::Keys(vec![state.clone()], true)),
         [ReceivedMessage::Succession(Succession::Key(state)), complete]
     );
+    let changed = decode(HandoverMessage::Standby(false)).pop();
+    assert_eq!(changed, Some(ReceivedMessage::Succession(Succession::KeysComplete { standby: false })));
     for result in [None, Some((*b"").into()), result] {
         let settled = Succession::KeyResolved { key: key.clone(), ran: true, result: result.clone() };
         assert_eq!(
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -454,7 +454,7 @@
             .collect()
     };
     for (at, on) in [(1, false), (2, true)] {
-        let effects = bench.step(at, [Input::Standby(!on)]);
+        let effects = bench.step(at, [Input::Standby { standby: !on, ticket: 1 }]);
         assert_eq!(reports(&effects), [on]);
     }
     bench.send(3, "queue-status", None);
--- a/tests/core/succession.rs
+++ b/tests/core/succession.rs
@@ -188,3 +188,26 @@
     let run = bench.send(10, "lobby-confirm", Some("k"));
     assert_eq!(launches_of(&bench.effects, run), 0, "the predecessor may have run another try of it");
 }
+
+#[test]
+fn a_standby_order_is_passed_on_to_the_other_process_and_not_back() {
+    // Guards against two processes that pass an order to and fro without end.
+    let (mut old, mut new, _) = after_handover();
+    let shared = |effects: Vec<Effect>| {
+        effects.into_iter().find_map(|e| match e {
+            Effect::ShareStandby { standby, with, ticket } => Some((standby, with, ticket)),
+            _ => None,
+        })
+    };
+    let order = |standby| Input::Standby { standby, ticket: 7 };
+    let told = |by, standby| Input::Succession(Succession::StandbyChanged { by, standby });
+    assert_eq!(shared(old.step(10, [order(true)])), Some((true, vec![Peer::Successor], Some(7))));
+    assert_eq!(shared(new.step(10, [told(Peer::Predecessor, true)])), Some((true, vec![], None)));
+    assert_eq!(shared(new.step(11, [order(false)])), Some((false, vec![Peer::Predecessor], Some(7))));
+    assert_eq!(shared(old.step(11, [told(Peer::Successor, false)])), Some((false, vec![], None)));
+    for bench in [&mut old, &mut new] {
+        let effects = bench.step(12, [Input::HealthCheck { conn: 900, deep: false }]);
+        assert!(!effects.is_empty());
+        assert_eq!(bench.answers(900), [&Verdict::Healthy]);
+    }
+}
--- a/tests/program/harness.rs
+++ b/tests/program/harness.rs
@@ -206,6 +206,21 @@
         program
     }
 
+    /// Starts a new version of this program whose agent does not answer, so that it does not take over. Returns the
+    /// process and its admin endpoint.
+    pub fn waiting_successor(&self, from: &Agent, appliance: &str) -> (Child, SocketAddr) {
+        let config =
+            self.config.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{}""#, self.http));
+        let config = config.replace(&from.address.to_string(), &gone().to_string());
+        let mut child = spawn_in(&self.dir, &config, appliance, None).0;
+        let prefix = "takes operators' calls on ";
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let line = lines.find(|line| line.contains(prefix)).expect("the admin endpoint");
+        // A process that cannot write its log would end.
+        thread::spawn(move || lines.for_each(drop));
+        (child, line.split_once(prefix).unwrap().1.parse().unwrap())
+    }
+
     fn logged_address(&self, prefix: &str) -> SocketAddr {
         self.wait_for_log(prefix);
         let log = self.log();
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -257,3 +257,59 @@
     assert_eq!(read_answer(&mut kept).status, 500);
     assert!(old.wait_for_exit().success());
 }
+
+/// Waits until health checks at the matcher's address, which either process may answer, all get this status.
+fn wait_for_checks(address: SocketAddr, status: u16) {
+    const CHECK: &[u8] = b"GET /check HTTP/1.1\r\nConnection: close\r\n\r\n";
+    wait_for(&format!("{status} from all health checks"), || {
+        (0..20).all(|_| exchange(address, CHECK).status == status)
+    });
+}
+
+#[rstest]
+#[case::drain_at_the_old_process(true, &["/drain"], 503)]
+#[case::drain_at_the_new_process(false, &["/drain"], 503)]
+#[case::undrain_at_the_old_process(true, &["/drain", "/undrain"], 200)]
+#[case::undrain_at_the_new_process(false, &["/drain", "/undrain"], 200)]
+fn an_order_to_one_process_of_an_upgrade_holds_in_both_and_when_the_old_one_has_ended(
+    #[case] at_old: bool,
+    #[case] orders: &[&str],
+    #[case] status: u16,
+) {
+    // Guards against a drain that the old process confirms and the new one does not know of.
+    let (old_agent, new_agent) = (Agent::start(1, SHORT_RUN, false), Agent::start(1, SHORT_RUN, false));
+    let mut old = Program::start(with_agent(&old_agent));
+    let new = old.successor(&old_agent, &new_agent);
+    for order in orders {
+        assert_eq!(if at_old { &old } else { &new }.admin_status("POST", order), 200);
+    }
+    wait_for_checks(new.http, status);
+    old.signal("TERM");
+    assert!(old.wait_for_exit().success());
+    wait_for_checks(new.http, status);
+    assert_eq!(exchange(new.http, &Request::new("queue-status", b"a").http()).body, b"made:a");
+}
+
+#[test]
+fn a_process_that_has_not_taken_over_refuses_orders_to_drain() {
+    // Guards against a drain that is confirmed by a process which no client reaches.
+    let agent = Agent::start(1, SHORT_RUN, false);
+    let old = Program::start(with_agent(&agent));
+    let console = old.dir.path("console.sock");
+    let appliance = format!(r#"{{"console":{{"socket":"{}"}}}}"#, console.display());
+    let (mut new, admin) = old.waiting_successor(&agent, &appliance);
+    for order in ["/drain", "/undrain"] {
+        let answer = exchange(admin, format!("POST {order} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes());
+        let text = String::from_utf8(answer.body).unwrap();
+        assert!(answer.status == 503 && text.contains("has not taken over"), "{}: {text}", answer.status);
+    }
+    wait_for("the console", || console.exists());
+    let mut client = std::os::unix::net::UnixStream::connect(&console).unwrap();
+    client.write_all(b"drain\nquit\n").unwrap();
+    let mut answer = String::new();
+    client.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("error: this process has not taken over"), "{answer}");
+    wait_for_checks(old.http, 200);
+    new.kill().unwrap();
+    new.wait().unwrap();
+}
