Give back the memory of a key whose run never began

Cause: the agent refuses each launch, which proves that nothing ran. The core forgets the key, but the decision module kept its entry, with the memory that the settings book for it (117.75 KB), until the end of the window: 276 of them fill 95 % of the site's 34,680 KB, and every request without room is refused.

Change: a run that never began releases its key, as a refused try does. The core's table now lets go of a holder that is no longer active, too: it kept a repeat that had ended during the run, and the next try was taken for a repeat of it and failed.

Failing before: rules::keys_whose_runs_never_began_take_no_memory (no room from try 19 on); with the change in the module alone, core::a_key_is_free_once_its_run_is_proven_not_to_have_begun_although_a_repeat_ended_before (Failed for Served).

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -167,7 +167,8 @@
         let Some(e) = self.entries.get_mut(key) else { return };
         e.tries.retain(|t| t.id != id);
         if e.run.is_none() {
-            e.holder = e.holder.filter(|(holder, _)| *holder != id);
+            // The holder may have ended during a run that is now known not to have begun.
+            e.holder = e.holder.filter(|(holder, _)| e.tries.iter().any(|t| t.id == *holder));
             if e.tries.is_empty() && e.holder.is_none() {
                 self.entries.remove(key);
             }
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -191,7 +191,7 @@
         match event {
             Event::Arrived(arrival) => self.on_arrival(&arrival, actions),
             Event::Withdrawn { id } => self.resolve(id, actions),
-            Event::Finished { id, outcome, took } => self.on_finished(id, outcome, took),
+            Event::Finished { id, outcome, took } => self.on_finished(id, outcome, took, actions),
             Event::CallNeeded { id } => {
                 self.last_progress = now;
                 // A route limits the tries of each call, not those of all calls of a run together.
@@ -335,7 +335,7 @@
         Some(estimate).filter(|_| retry && (shorter || reliable || lowest)).unwrap_or(arrived)
     }
 
-    fn on_finished(&mut self, id: RequestId, outcome: Outcome, took: Duration) {
+    fn on_finished(&mut self, id: RequestId, outcome: Outcome, took: Duration, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         if r.phase != Phase::Joined {
             self.last_progress = self.now;
@@ -344,9 +344,10 @@
             self.limit.completed += 1;
             self.run_lengths[r.class].learn(took, r.hint);
         } else if outcome.never_ran() && r.phase == Phase::Running {
-            // Nothing began: another try with its key may run.
+            // Nothing began: another try with its key may run, and without one the key is of no use.
             let group = self.key_groups.group_of.get(&id).and_then(|g| self.key_groups.groups.get_mut(g));
             group.into_iter().for_each(|g| g.started = None);
+            self.release_key(id, actions);
         }
         self.remove(id);
     }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -122,6 +122,24 @@
     assert_eq!(bench.launches(), 2);
 }
 
+#[test]
+fn a_key_is_free_once_its_run_is_proven_not_to_have_begun_although_a_repeat_ended_before() {
+    // Guards against a key that stays with a repeat which is over: a later try was failed as if the key had run.
+    let mut bench = Bench::new();
+    let run = bench.request(0, "lobby-confirm", Some("key"));
+    let Input::Request(repeat) = bench.request(0, "lobby-confirm", Some("key")) else { unreachable!() };
+    let timeout = Some(Duration::from_millis(300));
+    bench.step(0, [run, Input::Request(Box::new(Request { timeout, ..*repeat }))]);
+    assert_eq!(bench.launches(), 1);
+    let run = handle(1);
+    bench.advance_to(500);
+    assert_eq!(bench.answers(2), [&Verdict::Failed]);
+    bench.notice(510, Notice::Outcome { handle: run, end: End::Unknown, duration: None, result: None });
+    let next = bench.send(520, "lobby-confirm", Some("key"));
+    bench.complete(560, next, b"made");
+    assert_eq!(bench.answers(3), [&served(b"made")]);
+}
+
 #[test]
 fn a_run_that_the_agent_never_ends_is_answered_once_when_due() {
     let mut bench = Bench::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -473,3 +473,18 @@
         host.event(Event::Finished { id, outcome: Outcome::Error, took: ms(0) });
     }
 }
+
+#[test]
+fn keys_whose_runs_never_began_take_no_memory() {
+    // Guards against clients whose keyed requests the agent does not know: it refused each launch, but the keys filled the
+    // memory, and everyone else's requests were refused for the window of the keys.
+    let mut settings = keyed_settings();
+    settings.memory_kb = 400.0;
+    let mut host = TestHost::new(settings);
+    for id in 1..=200 {
+        host.arrive(id, 1, |_| ());
+        assert!(host.issued(&Action::Start(id)), "try {id} has no room");
+        host.event(Event::Finished { id, outcome: Outcome::NotStarted, took: ms(0) });
+    }
+    assert_eq!(host.engine.key_try_count(), 0);
+}
