Log at most twenty refused commands a second, and count the rest

Cause: `Core::log_refusal` has no limit, unlike the request log (200 lines a second) and the module's lines (one text in 5 s). Looked through: every other info, warn and error line of the program; none is written per request of a client.

Change: 20 lines in a second, then one line with the number of the others. The first lines keep all details, by which an altered command is told; `agent_refusals` counts them all.

Failing before: core::refusals_of_the_agent_write_a_bounded_log (500 lines for 21).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 mod end;
 mod error;
 pub mod keys;
+mod log_limit;
 mod past_runs;
 mod reload;
 mod reply;
@@ -42,6 +43,7 @@
 pub use end::End;
 pub use error::CoreError;
 use keys::Keys;
+use log_limit::LogLimit;
 use past_runs::PastRuns;
 pub use reply::{AskId, CallReply, ReplyDigest, ReplyOrigin};
 pub use types::*;
@@ -148,6 +150,8 @@
     grace_over: bool,
     exit_requested: bool,
     counters: Counters,
+    /// Log lines about commands that the agent refused, since the last sweep.
+    refusal_lines: LogLimit,
     effects: Vec<Effect>,
 }
 
@@ -191,6 +195,7 @@
             grace_over: false,
             exit_requested: false,
             counters: Counters::default(),
+            refusal_lines: LogLimit::default(),
             effects: Vec::new(),
         };
         core.arm(now + SWEEP_INTERVAL, Timer::Sweep);
@@ -383,6 +388,7 @@
                 let lateness = self.longest_wait();
                 self.keys.sweep(now, lateness);
                 self.hand_over_if_awaited(now);
+                self.log_omitted_refusals();
                 // A request with a long timeout that is answered early leaves its timers behind.
                 let requests = &self.requests;
                 self.timers.retain(|Reverse((_, timer))| match timer {
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -65,7 +65,9 @@
             }
             Notice::Refusal { command, handle } => {
                 self.counters.agent_refusals += 1;
-                self.log_refusal(&command, handle);
+                if self.refusal_lines.admit() {
+                    self.log_refusal(&command, handle);
+                }
                 let Some(&id) = self.handles.get(&handle) else { return };
                 // Only the refusal of a launch ends a run, as it proves that none began.
                 if command == "launch"
@@ -94,6 +96,16 @@
         self.effects.push(Effect::Log(format!("the agent refused a {command}: {handle}, {details}")));
     }
 
+    /// Logs how many refusals of the agent were not logged since the last sweep. Clients can cause refusals at the rate of
+    /// their requests.
+    pub(super) fn log_omitted_refusals(&mut self) {
+        let omitted = self.refusal_lines.begin_period();
+        if omitted > 0 {
+            let text = format!("the agent refused {omitted} further commands, which are not logged");
+            self.effects.push(Effect::Log(text));
+        }
+    }
+
     pub(super) fn start_run(&mut self, now: Duration, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let handle = request.handle;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -496,3 +496,19 @@
     bench.advance_to(100 + after + 20);
     assert_eq!(launches_of(&bench.effects, sent) == 1, runs);
 }
+
+#[test]
+fn refusals_of_the_agent_write_a_bounded_log() {
+    // Guards against clients that fill the log with requests whose ids the agent does not know.
+    let mut bench = Bench::new();
+    for n in 0..500 {
+        let handle = bench.send(n, "queue-status", None);
+        bench.notice(n, Notice::Refusal { command: "launch".into(), handle });
+    }
+    assert_eq!(bench.launches(), 500);
+    bench.advance_to(1_001);
+    let is_line = |e: &&Effect| matches!(e, Effect::Log(text) if text.contains("the agent refused"));
+    assert_eq!(bench.effects.iter().filter(is_line).count(), 21);
+    let rest = Effect::Log("the agent refused 480 further commands, which are not logged".to_string());
+    assert!(bench.effects.contains(&rest));
+}
