Keep no ids whose launch the agent refused

Cause: `remove_request` keeps every id whose launch was written, also where the agent's refusal, or its end `unknown`, proves that nothing ran.

Change: such an end takes back the launch, where only one was written. Several launches are kept: another one may have run.

Failing before: core::ids_that_the_agent_refused_do_not_crowd_out_those_of_runs (launched again).

--- a/src/core/delivery/pending.rs
+++ b/src/core/delivery/pending.rs
@@ -69,6 +69,11 @@
         self.launches > 0
     }
 
+    /// Records the proof that a launch began no run. Where several were written, another one may have.
+    pub(in crate::core) fn disprove_launch(&mut self) {
+        self.launches = if self.launches == 1 { 0 } else { self.launches };
+    }
+
     /// Records that a command was sent.
     pub(super) fn record(&mut self, command: &Command) {
         match command {
--- a/src/core/runs.rs
+++ b/src/core/runs.rs
@@ -187,6 +187,9 @@
         let took = duration.unwrap_or(now.saturating_sub(request.began));
         let served = result.filter(|_| outcome == Outcome::Done);
         self.counters.ended(end);
+        if outcome.never_ran() {
+            request.sent.disprove_launch();
+        }
         if let Some(key) = request.key.clone() {
             match outcome.never_ran() {
                 true => self.keys.cancel_run(&key, id),
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -512,3 +512,20 @@
     let rest = Effect::Log("the agent refused 480 further commands, which are not logged".to_string());
     assert!(bench.effects.contains(&rest));
 }
+
+#[test]
+fn ids_that_the_agent_refused_do_not_crowd_out_those_of_runs() {
+    // Guards against a second run of an id while clients flood the server with ids that the agent does not know.
+    let mut bench = Bench::new();
+    let ran = bench.send(0, "queue-status", None);
+    bench.complete(1, ran, b"made");
+    for n in 0..20_000 {
+        let handle = bench.send(2 + n / 10, "queue-status", None);
+        bench.notice(2 + n / 10, Notice::Refusal { command: "launch".into(), handle });
+        bench.effects.clear();
+    }
+    let Input::Request(again) = bench.request(2_100, "queue-status", None) else { unreachable!() };
+    bench.step(2_100, [Input::Request(Box::new(Request { handle: ran, ..*again }))]);
+    assert_eq!(bench.launches(), 0);
+    assert_eq!(bench.answers(bench.conns), [&Verdict::Failed]);
+}
