Hand over the ids of requests that may have run, so that none runs in the new process

Cause: an id runs only once since `past_runs`, but that table and the open requests stayed with the old process: the handover passed on keys alone. Idempotent and at-most-once classes have no key.

Ruled out: requests that reach the old process after the handover (they are forwarded, and the new process knows its own ids).

Change: the ids go before the keys, as lines that an earlier version reads as keys of nobody: a client's key has no NUL. The new process keeps them for the longest client timeout and 10 s.

Failing before: upgrade::an_id_that_ran_or_runs_in_the_old_process_does_not_run_in_the_new_one (200 for 400 or 500).

Left: an id that ran in a new process which then ends is unknown to the old one, which serves again.

--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -203,6 +203,8 @@
         let word = match heard.clone() {
             ReceivedMessage::Request(request) => HandoverMessage::Request(request),
             ReceivedMessage::Succession(Succession::Key(key)) => HandoverMessage::Keys(vec![key], false),
+            // The time of such a line is for processes of earlier versions: it is not part of the message.
+            ReceivedMessage::Succession(Succession::PastRun(_)) => continue,
             ReceivedMessage::Succession(Succession::KeysComplete { standby }) => {
                 HandoverMessage::Keys(Vec::new(), standby)
             }
--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -233,7 +233,10 @@
                     self.asked.get_mut(&handle).into_iter().for_each(|a| a.unproved_call = true);
                 }
             }
-            Effect::HandOver { keys, standby } => self.say(n, &HandoverMessage::Keys(keys, standby)),
+            Effect::HandOver { keys, past_runs, standby } => {
+                self.say(n, &HandoverMessage::PastRuns { handles: past_runs, until: self.now });
+                self.say(n, &HandoverMessage::Keys(keys, standby));
+            }
             Effect::ShareStandby { standby, with, .. } => {
                 with.iter().for_each(|_| self.say(n, &HandoverMessage::Standby(standby)));
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -292,7 +292,7 @@
                 self.change_call_limits(handle, attempt, limits)
             }
             Input::Drain { signalled_at } => {
-                self.hand_over_before_drain();
+                self.hand_over_before_drain(now);
                 self.drain(now, signalled_at);
             }
             Input::Succession(message) => self.handle_succession(now, message),
--- a/src/core/past_runs.rs
+++ b/src/core/past_runs.rs
@@ -26,7 +26,23 @@
 impl PastRuns {
     /// Keeps the handle of a request that is over.
     pub(super) fn keep(&mut self, now: Duration, handle: Handle) {
-        let until = now + RETENTION;
+        self.keep_until(now, handle, now + RETENTION);
+    }
+
+    /// Keeps the handle of a request that the predecessor has launched and that is over there within `timeout`.
+    pub(super) fn import(&mut self, now: Duration, handle: Handle, timeout: Duration) {
+        self.keep_until(now, handle, now + timeout + RETENTION);
+    }
+
+    /// The handles that are kept, the oldest first.
+    pub(super) fn export(&self, now: Duration) -> impl Iterator<Item = Handle> + '_ {
+        let is_current = move |(until, handle): &&(Duration, Handle)| {
+            *until > now && self.until.get(handle) == Some(until)
+        };
+        self.expiry.iter().filter(is_current).map(|(_, handle)| *handle)
+    }
+
+    fn keep_until(&mut self, now: Duration, handle: Handle, until: Duration) {
         self.until.insert(handle, until);
         self.expiry.push_back((until, handle));
         while self.expiry.front().is_some_and(|(until, _)| *until <= now || self.expiry.len() > MAX_HANDLES) {
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -1,7 +1,7 @@
 //! The handover from a running process to its successor, during which both serve as the same matcher.
 //!
 //! The predecessor hands over in a single step of its reducer, and from then on the successor makes all decisions. In
-//! that step the predecessor sends it all keys. It then forwards the requests that it still receives and completes
+//! that step the predecessor sends it all keys, and the handles of requests that may have run. It then forwards the requests that it still receives and completes
 //! only those that it had accepted itself. It reports each key that was open as soon as the last try of that key has
 //! ended. So every key has exactly one owner at any time, and no run has to wait for a message from the other
 //! process.
@@ -67,6 +67,10 @@
                 let until = self.plausible_end(now, state.until);
                 self.keys.import(KeyState { until, ..state }, id);
             }
+            Succession::PastRun(handle) => {
+                let timeouts = self.site.settings.classes.iter().map(|class| class.client_timeout);
+                self.past_runs.import(now, handle, timeouts.max().unwrap_or_default());
+            }
             Succession::KeysComplete { standby } => {
                 self.peer.has_all_keys = true;
                 // Only operators end a standby; a new version of the program does not.
@@ -93,7 +97,7 @@
                 self.peer.successor_waits = true;
                 match self.may_lack_keys(now) && self.drain.is_none() {
                     true => self.effects.push(Effect::Log(LACKS_KEYS.into())),
-                    false => self.hand_over(),
+                    false => self.hand_over(now),
                 }
             }
             Succession::ForwardedAnswer { conn, answer } => {
@@ -141,7 +145,7 @@
     }
 
     /// Hands all keys over to the successor, which makes all decisions from then on.
-    fn hand_over(&mut self) {
+    fn hand_over(&mut self, now: Duration) {
         self.peer.successor_waits = false;
         self.peer.has_taken_over = true;
         self.set_call_share_halved(true);
@@ -149,21 +153,24 @@
         let is_open = |key: &KeyState| key.open || predecessor_keys.contains_key(&key.key);
         let keys =
             self.keys.export().into_iter().map(|key| KeyState { open: is_open(&key), ..key }).collect();
-        self.effects.push(Effect::HandOver { keys, standby: self.standby });
+        let mut active: Vec<_> = self.handles.keys().copied().collect();
+        active.sort_unstable();
+        let past_runs = self.past_runs.export(now).chain(active).collect();
+        self.effects.push(Effect::HandOver { keys, past_runs, standby: self.standby });
     }
 
     /// Hands over to a successor that waits for the keys, once none can be missing any more.
     pub(super) fn hand_over_if_awaited(&mut self, now: Duration) {
         if self.peer.successor_waits && !self.may_lack_keys(now) {
-            self.hand_over();
+            self.hand_over(now);
         }
     }
 
     /// Hands over to a successor that waits for the keys before this process drains. Keys may still be missing, but
     /// the known ones would be lost otherwise.
-    pub(super) fn hand_over_before_drain(&mut self) {
+    pub(super) fn hand_over_before_drain(&mut self, now: Duration) {
         if self.peer.successor_waits {
-            self.hand_over();
+            self.hand_over(now);
         }
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -219,6 +219,8 @@
     SuccessorDisconnected,
     /// A key that the predecessor handed over.
     Key(KeyState),
+    /// The handle of a request that the predecessor has, or had a short time ago, and that may have run there.
+    PastRun(Handle),
     /// The predecessor has handed over all keys.
     KeysComplete {
         /// Operators want clients to stay away.
@@ -524,6 +526,8 @@
     HandOver {
         /// All keys.
         keys: Vec<KeyState>,
+        /// The handles of requests that may have run here, or may still run.
+        past_runs: Vec<Handle>,
         /// Operators want clients to stay away.
         standby: bool,
     },
--- a/src/net/handover/wire.rs
+++ b/src/net/handover/wire.rs
@@ -10,7 +10,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 
-use crate::core::{Answer, Bytes, ConnId, Key, KeyState, Peer, Request, Succession, Verdict};
+use crate::core::{Answer, Bytes, ConnId, Handle, Key, KeyState, Peer, Request, Succession, Verdict};
 use crate::net::error::HandoverLineError;
 
 /// A message to the peer process.
@@ -18,6 +18,14 @@
 pub enum HandoverMessage {
     /// The successor asks the predecessor to hand over.
     Begin,
+    /// The handles of requests that may have run in the predecessor. They are written like keys, which a process of an
+    /// earlier version takes them for and keeps until the given time.
+    PastRuns {
+        /// The handles.
+        handles: Vec<Handle>,
+        /// The end of the window of such a key.
+        until: Duration,
+    },
     /// All keys of the predecessor, and whether operators have put it on standby.
     Keys(Vec<KeyState>, bool),
     /// After the handover, operators have ordered that clients stay away or return. It is written like the end of the
@@ -31,6 +39,9 @@
     Answer(ConnId, Arc<Answer>),
 }
 
+/// How a key begins that stands for a handle. A client's key has no NUL.
+const PAST_RUN_PREFIX: &str = "\0handle ";
+
 /// The line that ends the keys, and that tells of a standby order after them.
 fn complete_line(standby: bool) -> String {
     format!("complete {}\n", u8::from(standby))
@@ -55,6 +66,13 @@
                 };
                 keys.iter().map(line).chain([complete_line(*standby)]).collect()
             }
+            Self::PastRuns { handles, until } => {
+                let line = |handle: &Handle| {
+                    let key = format!("{PAST_RUN_PREFIX}{handle}");
+                    format!("key {} 0 {} 0 -\n", encode_base64(Some(key.as_bytes())), until.as_micros())
+                };
+                handles.iter().map(line).collect()
+            }
             Self::Standby(standby) => vec![complete_line(*standby)],
             Self::KeyResolved(k, ran, result) => {
                 vec![format!("settled {} {} {}\n", key(k), u8::from(*ran), encode_base64(result.as_deref()))]
@@ -118,13 +136,16 @@
     let event = match fields[..] {
         ["begin"] => Succession::HandoverRequested,
         ["complete", standby] => Succession::KeysComplete { standby: flag("standby", standby)? },
-        ["key", key, digest, until, open, result] => Succession::Key(KeyState {
-            key: text("key", key)?.into(),
-            digest: hexadecimal("digest", digest)?,
-            until: micros("until", until)?,
-            open: flag("open", open)?,
-            result: bytes("result", result)?,
-        }),
+        ["key", key, digest, until, open, result] => {
+            let state = KeyState {
+                key: text("key", key)?.into(),
+                digest: hexadecimal("digest", digest)?,
+                until: micros("until", until)?,
+                open: flag("open", open)?,
+                result: bytes("result", result)?,
+            };
+            parse_past_run(&state)?.map_or(Succession::Key(state), Succession::PastRun)
+        }
         ["settled", key, ran, result] => Succession::KeyResolved {
             key: text("key", key)?.into(),
             ran: flag("ran", ran)?,
@@ -137,6 +158,13 @@
     Ok(ReceivedMessage::Succession(event))
 }
 
+/// The handle that a key stands for; `None` if it is a client's key.
+fn parse_past_run(state: &KeyState) -> Result<Option<Handle>, HandoverLineError> {
+    let Some(handle) = state.key.strip_prefix(PAST_RUN_PREFIX) else { return Ok(None) };
+    let handle = handle.parse().ok().filter(|_| state.digest == 0 && !state.open && state.result.is_none());
+    handle.map(Some).ok_or(HandoverLineError::InvalidField { field: "handle" })
+}
+
 /// Tells a standby order after the handover from the end of the keys, which is written in the same way: only the first
 /// such line of a predecessor ends the keys.
 pub fn with_source(event: Succession, peer: Peer, has_all_keys: bool) -> Succession {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,6 +57,8 @@
 
 /// The highest number of further inputs that the reducer takes in one step.
 const BATCH: usize = 1024;
+/// How long a process of an earlier version keeps the handles that it is handed as keys.
+const PAST_RUN_LIFETIME: Duration = Duration::from_secs(10);
 /// How often to check whether all connections and listeners are closed.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -429,12 +431,14 @@
                 self.stop_frontends(false);
             }
             Effect::Ready => self.on_runner_ready(),
-            Effect::HandOver { keys, standby } => {
+            Effect::HandOver { keys, past_runs, standby } => {
                 info!("hands over to a new process: {} keys", keys.len());
                 self.hub.set_descriptor_share(true);
                 let clock = &self.hub.clock;
                 let on_wall_clock = |key: KeyState| KeyState { until: clock.to_wall(key.until), ..key };
                 let keys = keys.into_iter().map(on_wall_clock).collect();
+                let until = clock.to_wall(clock.now() + PAST_RUN_LIFETIME);
+                self.successor.send(handover::HandoverMessage::PastRuns { handles: past_runs, until });
                 self.successor.send(handover::HandoverMessage::Keys(keys, standby));
                 if let Some(fleet) = &self.hub.fleet {
                     fleet.release();
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -418,6 +418,12 @@
         decode(HandoverMessage::Keys(vec![state.clone()], true)),
         [ReceivedMessage::Succession(Succession::Key(state)), complete]
     );
+    let handle = "9b1f03aa5c7e2d41".parse().unwrap();
+    let past_runs = HandoverMessage::PastRuns { handles: vec![handle], until };
+    assert_eq!(decode(past_runs), [ReceivedMessage::Succession(Succession::PastRun(handle))]);
+    for no_handle in ["=AGhhbmRsZSA5YjFm 0 1 0 -", "=AGhhbmRsZSA5YjFmMDNhYTVjN2UyZDQx 0 1 1 -"] {
+        assert!(parse(&format!("key {no_handle}")).is_err(), "{no_handle}");
+    }
     let changed = decode(HandoverMessage::Standby(false)).pop();
     assert_eq!(changed, Some(ReceivedMessage::Succession(Succession::KeysComplete { standby: false })));
     for result in [None, Some((*b"").into()), result] {
--- a/tests/core/succession.rs
+++ b/tests/core/succession.rs
@@ -14,7 +14,7 @@
     assert!((1..14).contains(&launched), "{launched} launched");
     let effects = old.step(1, [Input::Succession(Succession::HandoverRequested)]);
     let keys = effects.into_iter().find_map(|e| match e {
-        Effect::HandOver { keys, standby: false } => Some(keys),
+        Effect::HandOver { keys, standby: false, .. } => Some(keys),
         _ => None,
     });
     let keys = keys.expect("the keys");
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -313,3 +313,31 @@
     new.kill().unwrap();
     new.wait().unwrap();
 }
+
+#[test]
+fn an_id_that_ran_or_runs_in_the_old_process_does_not_run_in_the_new_one() {
+    // Guards against a second run of a request that is sent again under its id after its connection has closed.
+    let (old_agent, new_agent) =
+        (Agent::start(2, Duration::from_millis(300), false), Agent::start(1, SHORT_RUN, false));
+    let mut old = Program::start(with_agent(&old_agent));
+    let [ended, running] = [b"ended", b"going"].map(|body| Request::new("queue-status", body).http());
+    assert_eq!(exchange(old.http, &ended).body, b"made:ended");
+    let mut caller = connect(old.http);
+    caller.write_all(&running).unwrap();
+    wait_for("the launch", || old_agent.launches().len() == 2);
+    drop(caller);
+    let new = old.successor(&old_agent, &new_agent);
+    for request in [&ended, &running] {
+        // Either process may read it: both know the id.
+        assert!([400, 500].contains(&exchange(new.http, request).status));
+    }
+    old.signal("TERM");
+    assert!(old.wait_for_exit().success());
+    for request in [&ended, &running] {
+        assert_eq!(exchange(new.http, request).status, 500);
+    }
+    assert_eq!(exchange(new.http, &Request::new("queue-status", b"other").http()).body, b"made:other");
+    let bodies = |agent: &Agent| agent.launches().into_iter().map(|(_, _, body)| body).collect::<Vec<_>>();
+    assert_eq!(bodies(&old_agent), [b"ended", b"going"]);
+    assert_eq!(bodies(&new_agent), [b"other"]);
+}
