Begin no request of a connection that its client has reset

Cause: the system gives out bytes that arrived before a reset as if nothing had happened, and only a write reports the reset. The write of the first answer succeeds, as it is what provokes the reset; the next request was then read and launched before the next write failed.

Change: before a request is passed on, the connection is polled for a reset, without waiting.

A test of the half-closed client is among those of `closing`.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -113,6 +113,11 @@
                 return (write(stream, &wire.encode_error(error), hub), CloseReason::Malformed);
             }
         };
+        // Nobody waits for the answers to what a client sent before it left: none of it begins any more. Its requests
+        // that were pushed before are completed.
+        if stream.conn().is_broken() {
+            return (ConnectionEnd::PeerGone, CloseReason::PeerGone);
+        }
         let after = slot.request_read();
         hub.push(match message.parsed {
             Parsed::HealthCheck { deep } => Input::HealthCheck { conn, deep },
--- a/tests/program/closing.rs
+++ b/tests/program/closing.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hopwalk::net::connection_table::EVICT_AFTER;
+use rstest::rstest;
 
 use crate::harness::*;
 
@@ -268,3 +269,36 @@
     }
     assert!(!program.log().contains("accept:"), "{}", program.log());
 }
+
+#[rstest]
+#[case::which_reads_nothing(0)]
+#[case::which_leaves_answers_unread(1)]
+fn requests_behind_the_first_one_do_not_run_once_their_client_has_left(#[case] answers: usize) {
+    // Guards against requests that wait unread on a connection, and run after their client has closed it.
+    let agent = Agent::start(1, Duration::from_millis(100), false);
+    let program = start_program(&agent);
+    let before = program.descriptors();
+    let mut stream = connect(program.http);
+    let requests: Vec<_> = (0..40).map(|_| Request::new("queue-status", &[b'x'; 1000]).http()).collect();
+    stream.write_all(&requests.concat()).unwrap();
+    wait_for("the launch", || agent.launches().len() == answers + 1);
+    drop(stream);
+    let launched = agent.launches().len();
+    wait_for("the close", || program.descriptors() == before);
+    assert_eq!(agent.launches().len(), launched);
+}
+
+#[test]
+fn a_client_that_has_closed_its_sending_side_alone_gets_all_its_answers() {
+    // Guards against a client that is taken for gone although it still reads.
+    let agent = Agent::start(1, Duration::from_millis(20), false);
+    let program = start_program(&agent);
+    let mut stream = connect(program.http);
+    let bodies: [&[u8]; 3] = [b"one", b"two", b"three"];
+    stream.write_all(&bodies.map(|body| Request::new("queue-status", body).http()).concat()).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    for body in bodies {
+        assert_eq!(read_answer(&mut stream).body, [b"made:", body].concat());
+    }
+    assert!(is_closed(&mut stream));
+}
