Refuse held requests whose clients have reset their connections

Cause: the coroutine of a connection waits for the answer and does not look at the socket, so that nothing tells the reducer that a client is gone until the answer is written.

Ruled out: clients that close without a reset (FIN): the system cannot tell them from clients that have closed their sending side alone, and the next write provokes the reset; such requests run as before.

Change: every 50 ms one `poll` over the connections that wait for an answer; those that are reset are reported, and a request that is still held is withdrawn from the decision module and refused. What runs, or waits for a run, ends with it. Counter `clients_gone`.

--- a/src/core/answer_deadlines.rs
+++ b/src/core/answer_deadlines.rs
@@ -97,6 +97,14 @@
         self.owed.get(&conn).is_some_and(|owed| owed.owner == Owner::Successor)
     }
 
+    /// The request of this process whose answer a connection is owed.
+    pub(super) fn request_of(&self, conn: ConnId) -> Option<RequestId> {
+        match self.owed.get(&conn)?.owner {
+            Owner::Here(id) => Some(id),
+            Owner::Successor => None,
+        }
+    }
+
     /// Connections that the successor is expected to answer, in the order in which they were opened.
     pub(super) fn forwarded(&self) -> Vec<ConnId> {
         let forwarded = self.owed.iter().filter(|(_, owed)| owed.owner == Owner::Successor);
--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -26,6 +26,17 @@
         }
     }
 
+    /// Refuses a request that is held for a client which is gone: it needs no run. One that runs, or waits for another
+    /// run, ends with that run.
+    pub(super) fn client_gone(&mut self, now: Duration, conn: ConnId) {
+        let Some(id) = self.deadlines.request_of(conn) else { return };
+        if self.requests.get(&id).is_some_and(|request| request.phase == Phase::Held) {
+            self.counters.clients_gone += 1;
+            self.events.push_back(Event::Withdrawn { id });
+            self.refuse(now, id, Duration::ZERO, false);
+        }
+    }
+
     pub(super) fn fail(&mut self, now: Duration, id: RequestId) {
         self.answer_request(now, id, Verdict::Failed);
         match self.requests.get(&id).map(|request| request.phase) {
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -29,6 +29,8 @@
     pub failed: u64,
     /// Requests that the reducer itself answered at their deadline.
     pub overdue: u64,
+    /// Held requests that were refused because their client had reset its connection.
+    pub clients_gone: u64,
     /// Commands sent to the agent.
     pub commands: u64,
     /// Commands for which there was no link: kept for the next link, or dropped.
@@ -93,6 +95,7 @@
             ("refused", self.refused),
             ("failed", self.failed),
             ("overdue", self.overdue),
+            ("clients_gone", self.clients_gone),
             ("commands", self.commands),
             ("commands_without_link", self.commands_without_link),
             ("launched", self.launched),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -279,6 +279,7 @@
             }
             Input::Rejected => self.counters.rejected += 1,
             Input::AnswerWriteFailed(end) => self.counters.unsent(end),
+            Input::ClientGone { conn } => self.client_gone(now, conn),
             Input::ViolationDetected => self.counters.violations += 1,
             Input::StrayReply => self.counters.stray_replies += 1,
             Input::Agent { link, notice } => self.handle_notice(now, link, notice),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -116,6 +116,11 @@
     /// The network layer detected a violation of a rule: it withheld an answer that no request was waiting for, or a
     /// connection ended without the answer that was owed to it.
     ViolationDetected,
+    /// The client of a connection that is owed an answer has reset it.
+    ClientGone {
+        /// The connection.
+        conn: ConnId,
+    },
     /// A reply from the dependency was ignored: it is a copy of an earlier reply, or it belongs to another request.
     StrayReply,
     /// The agent sent a notice, or a link to it reported one.
--- a/src/net/connection_table.rs
+++ b/src/net/connection_table.rs
@@ -140,6 +140,12 @@
         AnswerDue::Owed(&entry.handle)
     }
 
+    /// The connections whose answer is owed and has not been given.
+    pub fn awaiting_answer(&self) -> impl Iterator<Item = (ConnId, &H)> {
+        let is_waiting = |(_, entry): &(&ConnId, &Entry<H>)| entry.awaits_answer && !entry.answer_given;
+        self.entries.iter().filter(is_waiting).map(|(conn, entry)| (*conn, &entry.handle))
+    }
+
     /// Admits a connection at `now`, if there is room. Where all open slots are taken, one connection is evicted if
     /// possible: `evict` is called with its handle, and the new connection takes its slot. Otherwise the new connection
     /// takes a spare slot, and closes after its first answer.
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -11,6 +11,7 @@
 use super::close_counts::CloseReason;
 use super::connection_table::{AfterAnswer, EVICT_AFTER};
 use super::decoder::{Framing, MessageDecoder};
+use super::disconnect_watch::find_broken;
 use super::fields::{Message, Parsed, RequestError};
 use super::http::BYTES_BEHIND;
 use super::lingering_close::{self, ConnectionEnd};
@@ -115,7 +116,7 @@
         };
         // Nobody waits for the answers to what a client sent before it left: none of it begins any more. Its requests
         // that were pushed before are completed.
-        if stream.conn().is_broken() {
+        if find_broken([&*stream.conn()]).contains(&true) {
             return (ConnectionEnd::PeerGone, CloseReason::PeerGone);
         }
         let after = slot.request_read();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod connection_table;
 pub mod control;
 pub mod decoder;
+mod disconnect_watch;
 pub mod error;
 pub mod fields;
 pub mod frontend;
@@ -189,6 +190,7 @@
         if let Some(address) = config.admin {
             admin::start(address, &hub).map_err(|source| NodeError::Admin { address, source })?;
         }
+        disconnect_watch::start(&hub);
         let predecessor =
             config.handover.as_ref().and_then(|path| handover::connect_to_predecessor(path, &hub));
         let mut node = Self {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,13 +2,10 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use may::net::TcpStream;
-use nix::errno::Errno;
-use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 
 /// The first wait while the send buffer is full, and the longest one: each wait is twice as long as the one before it.
 const WRITE_RETRY_WAIT: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(16));
@@ -58,18 +55,9 @@
         matches!(self.stream.inner().peek(&mut [0]), Ok(1..))
     }
 
-    /// The connection is broken: the peer has reset it. Bytes that arrived before can still be read.
-    pub(super) fn is_broken(&self) -> bool {
-        let mut poll_fds = [PollFd::new(self.stream.inner().as_fd(), PollFlags::empty())];
-        loop {
-            match poll(&mut poll_fds, PollTimeout::ZERO) {
-                Err(Errno::EINTR) => {}
-                Err(_) => return false,
-                Ok(_) => break,
-            }
-        }
-        let broken = PollFlags::POLLERR | PollFlags::POLLHUP;
-        poll_fds[0].revents().is_some_and(|events| events.intersects(broken))
+    /// The socket of the connection.
+    pub(super) fn socket(&self) -> &std::net::TcpStream {
+        self.stream.inner()
     }
 
     /// The connection has no unread bytes, and the peer has not closed its side.
--- a/tests/program/closing.rs
+++ b/tests/program/closing.rs
@@ -302,3 +302,22 @@
     }
     assert!(is_closed(&mut stream));
 }
+
+#[test]
+fn held_requests_do_not_run_once_their_clients_have_left() {
+    // Guards against requests that are launched after their clients have reset their connections.
+    let agent = Agent::start(1, Duration::from_millis(200), false);
+    let program = start_program(&agent);
+    let request = Request { timeout_ms: 4_000, ..Request::new("queue-status", b"held") };
+    let callers: Vec<_> = (0..60).map(|_| send(&program, &request)).collect();
+    wait_for("the requests", || program.counter("taken_in") == 60);
+    let launched = agent.launches().len();
+    for caller in &callers {
+        socket2::SockRef::from(caller).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(callers);
+    wait_for("the end of all", || program.counter("refused") as usize + agent.launches().len() >= 60);
+    let launched_since = agent.launches().len() - launched;
+    assert!(launched_since <= 3, "{launched_since} launched since, {launched} before");
+    assert!(program.counter("clients_gone") > 0);
+}
