Pace connections that always have more work, so that the others are polled

Cause: `may`'s worker polls the sockets only when no coroutine is ready. A connection with a next request in its buffer goes from one answer to the next without a wait on its socket, and a lingering close reads up to 1 MiB in one turn; with enough of them some coroutine is always ready. The operators' guess (the listener's queue, a second SYN) is excluded: connects take no time and the system counts no overflow.

A client with one request at a time, as the protocol has it, does not pause.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -320,7 +320,7 @@
     };
     let body = body_text.as_deref().unwrap_or(if status == 200 { "yes\n" } else { "no\n" });
     if conn.write_all(&encode_response(status, "", body.as_bytes(), true)).is_ok() {
-        close(&mut conn, ConnectionEnd::Finished, TIMEOUT);
+        close(&mut conn, ConnectionEnd::Finished, TIMEOUT, &hub.pacing);
     }
 }
 
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -92,7 +92,7 @@
     } else {
         lingering_close::TIMEOUT
     };
-    lingering_close::close(&mut stream, end, timeout);
+    lingering_close::close(&mut stream, end, timeout, &slot.hub.pacing);
 }
 
 fn serve_requests<S: ClientStream, W: Wire>(
@@ -142,6 +142,9 @@
             ConnectionEnd::Finished => {}
         }
         slot.answered();
+        if !decoder.is_empty() || stream.has_arrived() {
+            hub.pacing.pause();
+        }
     }
 }
 
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -13,6 +13,7 @@
 use super::close_counts::CloseCounts;
 use super::connection_table::{Admission, AnswerDue, Capacity, ConnectionTable};
 use super::listen::{ConnectionHandle, ConnectionSlot};
+use super::pacing::Pacing;
 use super::pending_answers::PendingAnswers;
 use super::request_log::RequestLog;
 use super::stream::Conn;
@@ -43,6 +44,8 @@
     /// The number of the last connection to the dependency.
     last_call_connection: AtomicU64,
     pub(super) request_log: RequestLog,
+    /// Pacing of client connections whose next work has arrived already.
+    pub(super) pacing: Pacing,
     /// How many connections were closed, by reason.
     pub(super) closes: CloseCounts,
     /// How many descriptors the process may use.
@@ -109,6 +112,7 @@
             next_conn: AtomicU64::new(1),
             last_call_connection: AtomicU64::new(0),
             request_log: RequestLog::default(),
+            pacing: Pacing::default(),
             closes: CloseCounts::default(),
             sockets,
             max_connections: AtomicUsize::new(1),
--- a/src/net/lingering_close.rs
+++ b/src/net/lingering_close.rs
@@ -10,9 +10,12 @@
 use std::time::{Duration, Instant};
 
 use super::frontend::{read_some, ClientStream};
+use super::pacing::Pacing;
 
 /// At most this many bytes are read and discarded, which bounds the cost of a client that never stops writing.
 const MAX_DISCARDED: usize = 1 << 20;
+/// After this many bytes the connection pauses, so that the others get their turns.
+const BYTES_PER_TURN: usize = 32 << 10;
 /// How long the client may take to close its side as well.
 pub(super) const TIMEOUT: Duration = Duration::from_millis(200);
 /// The same once the process is about to end: bytes that were sent before the client saw the close arrive within this
@@ -30,23 +33,27 @@
 
 /// Closes a connection; the client may take up to `timeout` to close its side. The descriptor is closed when the last
 /// owner of `stream` drops it.
-pub(super) fn close(stream: &mut impl ClientStream, end: ConnectionEnd, timeout: Duration) {
+pub(super) fn close(stream: &mut impl ClientStream, end: ConnectionEnd, timeout: Duration, pacing: &Pacing) {
     if end == ConnectionEnd::PeerGone {
         return;
     }
     stream.notify_close();
     stream.conn().shutdown(Shutdown::Write);
     stream.conn().set_read_timeout(timeout);
-    discard(stream, timeout);
+    discard(stream, timeout, pacing);
 }
 
 /// Reads until the client closes its side, within limits of time and bytes.
-fn discard(stream: &mut impl Read, timeout: Duration) {
-    let (mut bytes, mut discarded, since) = (Vec::new(), 0, Instant::now());
+fn discard(stream: &mut impl Read, timeout: Duration, pacing: &Pacing) {
+    let (mut bytes, mut discarded, mut in_this_turn, since) = (Vec::new(), 0, 0, Instant::now());
     while discarded < MAX_DISCARDED && since.elapsed() < timeout {
+        if in_this_turn >= BYTES_PER_TURN {
+            in_this_turn = 0;
+            pacing.pause();
+        }
         bytes.clear();
         match read_some(stream, &mut bytes) {
-            Ok(read) if read > 0 => discarded += read,
+            Ok(read) if read > 0 => (discarded, in_this_turn) = (discarded + read, in_this_turn + read),
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             _ => return,
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,6 +25,7 @@
 mod lingering_close;
 mod listen;
 mod metrics;
+mod pacing;
 mod pending_answers;
 mod request_log;
 pub mod scgi;
--- /dev/null
+++ b/tests/program/floods.rs
@@ -0,0 +1,94 @@
+//! Clients that send at full speed: they take their share of the program's time, and no other client's.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::harness::*;
+
+/// The time in which another client is served meanwhile: its requests are wanted within 1.8 s.
+const SERVED_WITHIN: Duration = Duration::from_millis(1000);
+
+/// Clients that each write a head and then fill without end, read all that comes, and connect again when they are closed.
+struct Flood {
+    stop: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(program: &Program, clients: usize, head: &'static [u8], fill: Vec<u8>) -> Self {
+        let (stop, address) = (Arc::new(AtomicBool::new(false)), program.http);
+        let stopped = stop.clone();
+        let thread = thread::spawn(move || {
+            let open = || {
+                let stream = connect(address);
+                let _ = (&stream).write_all(head);
+                stream.set_nonblocking(true).unwrap();
+                stream
+            };
+            let mut streams: Vec<_> = (0..clients).map(|_| open()).collect();
+            let mut buffer = vec![0; 1 << 16];
+            while !stopped.load(Ordering::Relaxed) {
+                for stream in &mut streams {
+                    if !go_on(stream, &fill, &mut buffer) {
+                        *stream = open();
+                    }
+                }
+            }
+        });
+        Self { stop, thread: Some(thread) }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.thread.take().map(thread::JoinHandle::join);
+    }
+}
+
+/// Writes and reads what is possible without waiting; returns false once the peer has closed.
+fn go_on(stream: &mut TcpStream, fill: &[u8], buffer: &mut [u8]) -> bool {
+    let goes_on = |result: std::io::Result<usize>| match result {
+        Ok(count) => count > 0,
+        Err(e) => e.kind() == ErrorKind::WouldBlock,
+    };
+    goes_on(stream.write(fill)) && goes_on(stream.read(buffer))
+}
+
+/// Has another client ask for a second, on a new connection each time; returns how long it took at most.
+fn longest_answer(program: &Program) -> Duration {
+    let (since, mut longest) = (Instant::now(), Duration::ZERO);
+    while since.elapsed() < Duration::from_secs(1) {
+        let began = Instant::now();
+        assert_eq!(exchange(program.http, &Request::new("queue-status", b"a").http()).body, b"made:a");
+        longest = longest.max(began.elapsed());
+    }
+    longest
+}
+
+#[test]
+fn clients_that_send_many_requests_at_once_do_not_keep_others_waiting() {
+    // Guards against connections that always have a next request at hand: the program did not poll the other ones
+    // meanwhile.
+    let agent = Agent::start(6, Duration::from_millis(2), false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let checks = b"GET /check HTTP/1.1\r\n\r\n".repeat(1_000);
+    let _flood = Flood::start(&program, 200, b"", checks);
+    let longest = longest_answer(&program);
+    assert!(longest < SERVED_WITHIN, "{longest:?}");
+}
+
+#[test]
+fn clients_that_never_end_a_body_do_not_keep_others_waiting() {
+    // Guards against the reading of refused bodies that leaves no time for anything else.
+    let agent = Agent::start(6, Duration::from_millis(2), false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let head = b"POST /do/queue-status HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
+    let _flood = Flood::start(&program, 400, head, vec![b'z'; 1 << 18]);
+    let longest = longest_answer(&program);
+    assert!(longest < SERVED_WITHIN, "{longest:?}");
+}
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -10,6 +10,7 @@
 mod closing;
 mod command_errors;
 mod corpus;
+mod floods;
 mod harness;
 mod in_doubt;
 mod links;
