Bound connections, keys and kept results by the memory limit

Callers saw: with many clients connected at once, or many keys with large results, the process took more than `limits.memory_mb` and was killed, and all that it held was lost.

Cause: `limits.memory_mb` was read nowhere. Connections were bounded by descriptors alone, keys by 50,000 and results by 16 MiB whatever the limit was; during an upgrade both processes had all of it.

Change: `settings::MemoryBudget` gives connections half of the limit, keys a quarter and results an eighth. Without a stated limit all is as before. The two processes of an upgrade halve the connections, as they halve the descriptors.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -7,11 +7,8 @@
 
 use super::types::{Bytes, Key, KeyState};
 use crate::interface::RequestId;
+use crate::settings::MemoryBudget;
 
-/// Maximum number of remembered keys; beyond that, requests with new keys are refused.
-const MAX_KEYS: usize = 50_000;
-/// Maximum size of all remembered results in bytes; beyond that the oldest results are dropped, but not their keys.
-const MAX_RESULT_BYTES: usize = 16 << 20;
 /// Tries that arrive up to this long after the end of a window are treated as within it.
 pub(super) const WINDOW_MARGIN: Duration = Duration::from_secs(1);
 
@@ -63,6 +60,7 @@
 pub struct Keys {
     entries: HashMap<Key, Entry>,
     result_bytes: usize,
+    budget: MemoryBudget,
 }
 
 impl Keys {
@@ -71,9 +69,14 @@
         self.entries.contains_key(key)
     }
 
+    /// Limits the keys and results that are remembered.
+    pub fn set_budget(&mut self, budget: MemoryBudget) {
+        self.budget = budget;
+    }
+
     /// Whether a try of this key can be added: the key is known, or there is room for one more.
     pub fn has_room_for(&self, key: &Key) -> bool {
-        self.entries.len() < MAX_KEYS || self.is_known(key)
+        self.entries.len() < self.budget.keys || self.is_known(key)
     }
 
     /// Whether the key stands for a request with a digest other than this one.
@@ -149,7 +152,7 @@
         self.result_bytes -= result_size(Some(run));
         run.result = result;
         self.result_bytes += result_size(Some(run));
-        if self.result_bytes > MAX_RESULT_BYTES {
+        if self.result_bytes > self.budget.result_bytes {
             self.drop_results();
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -34,7 +34,7 @@
 
 use crate::decisions::DecisionEngine;
 use crate::interface::{Action, Event, Gauges, RequestId};
-use crate::settings::Site;
+use crate::settings::{MemoryBudget, Site};
 
 use answer_deadlines::AnswerDeadlines;
 use calls::CallState;
@@ -202,6 +202,11 @@
         Ok(core)
     }
 
+    /// Limits the tables that clients can fill.
+    pub fn set_memory_budget(&mut self, budget: MemoryBudget) {
+        self.keys.set_budget(budget);
+    }
+
     /// When [`Core::step`] must be called again even if there is no input.
     pub fn next_timer(&self) -> Option<Duration> {
         [self.next_armed(), self.deadlines.next()].into_iter().flatten().min()
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -50,6 +50,8 @@
     pub(super) closes: CloseCounts,
     /// How many descriptors the process may use.
     pub(super) sockets: usize,
+    /// How many client connections the memory limit allows.
+    memory_connections: AtomicUsize,
     max_connections: AtomicUsize,
     spare_connections: AtomicUsize,
     /// How many calls to the dependency may be in progress at once. Each uses one of the reserved descriptors.
@@ -115,6 +117,7 @@
             pacing: Pacing::default(),
             closes: CloseCounts::default(),
             sockets,
+            memory_connections: AtomicUsize::new(usize::MAX),
             max_connections: AtomicUsize::new(1),
             spare_connections: AtomicUsize::new(0),
             max_calls: AtomicUsize::new(1),
@@ -136,12 +139,19 @@
         hub
     }
 
-    /// Sets the limits that depend on the number of descriptors. During a handover the two processes of a matcher share
-    /// the descriptors, so that each gets half of them.
+    /// Limits the client connections to what the memory limit allows.
+    pub(super) fn limit_connections(&self, connections: usize) {
+        self.memory_connections.store(connections, Ordering::Relaxed);
+        self.set_descriptor_share(false);
+    }
+
+    /// Sets the limits on connections and calls. During a handover the two processes of a matcher share descriptors and
+    /// memory, so that each gets half of them.
     pub(super) fn set_descriptor_share(&self, is_shared: bool) {
         let processes = if is_shared { 2 } else { 1 };
         let reserved = RESERVED_DESCRIPTORS.min(self.sockets / 2);
-        let max_connections = ((self.sockets - reserved) / processes).max(1);
+        let connections = (self.sockets - reserved).min(self.memory_connections.load(Ordering::Relaxed));
+        let max_connections = (connections / processes).max(1);
         self.max_connections.store(max_connections, Ordering::Relaxed);
         self.max_calls.store((reserved / 2 / processes).max(1), Ordering::Relaxed);
         self.spare_connections.store(reserved / SPARE_DIVISOR / processes, Ordering::Relaxed);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -166,8 +166,10 @@
         let routing = driver.as_ref().map(|driver| Arc::new(driver.routing()) as Arc<dyn Router>);
         let classes = config.site.class_names.clone();
         let hub = Arc::new(Hub::new(sender, config.sockets, config.links(), classes, fleet, routing));
+        hub.limit_connections(config.memory.connections);
         call_routing::start(&hub);
         let mut core = Core::new(config.site.clone(), config.seed, config.stop_after, hub.clock.now())?;
+        core.set_memory_budget(config.memory);
         let runner = match (config.agent, config.appliance.scgi_application) {
             (Some(_), _) => Runner::Agent(agent::Link::start(&hub)),
             (None, Some(address)) => {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! Unknown keys are ignored, and a [`ConfigError`] names the key that it is about.
 
 mod error;
+mod memory;
 mod node;
 mod routes;
 mod values;
@@ -25,6 +26,7 @@
 use node::{boolean, integer, kilobytes, micros, number, parse_json, parsed, string, Node};
 
 pub use error::{ConfigError, Problem};
+pub use memory::MemoryBudget;
 pub use routes::{Routes, Voter};
 
 /// The settings of the decision module, and the names that they have on the wire.
@@ -164,6 +166,8 @@
     pub stop_after: Duration,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// How much each table may hold, by the process's memory limit.
+    pub memory: MemoryBudget,
     /// The part that concerns the decision module.
     pub site: Site,
     /// The appliance, including the frontends beside the platform's port.
@@ -530,6 +534,11 @@
             return Err(ConfigError::new("stop_ms", Problem::TooLong));
         }
         let sockets = node.get("limits")?.get("sockets")?.optional(DEFAULT_SOCKETS, integer)? as usize;
+        let memory_mb = node.get("limits")?.get("memory_mb")?;
+        let memory_mb = memory_mb.optional(None, |n, v| match number(n, v)? {
+            0.0 => n.error(Problem::Zero),
+            memory_mb => Ok(Some(memory_mb)),
+        })?;
         let settings = node.get("settings")?;
         if settings.value.is_none() {
             return settings.error(Problem::Missing);
@@ -564,6 +573,7 @@
             seed,
             stop_after: Duration::from_micros((stop_ms * 1000.0) as u64),
             sockets,
+            memory: MemoryBudget::for_limit(memory_mb),
             site,
             appliance: Appliance::default(),
             handover: None,
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -15,7 +15,7 @@
 use common::TestRng;
 use hopwalk::core::*;
 use hopwalk::interface::Outcome;
-use hopwalk::settings::Site;
+use hopwalk::settings::{MemoryBudget, Site};
 use rstest::rstest;
 
 #[test]
@@ -529,3 +529,23 @@
     assert_eq!(bench.launches(), 0);
     assert_eq!(bench.answers(bench.conns), [&Verdict::Failed]);
 }
+
+#[test]
+fn the_memory_limit_bounds_keys_and_results() {
+    // Guards against keys and results that fill the memory: they were bounded whatever the limit.
+    let mut bench = Bench::new();
+    bench.core.set_memory_budget(MemoryBudget { keys: 20, result_bytes: 10_000, ..MemoryBudget::default() });
+    let mut answers = Vec::new();
+    for n in 0..30 {
+        let handle = bench.send(n, "lobby-confirm", Some(&format!("key {n}")));
+        bench.complete(n, handle, &[b'r'; 1_000]);
+        answers.push(bench.answers(bench.conns)[0].clone());
+    }
+    assert!(answers[..20].iter().all(|answer| *answer == served(&[b'r'; 1_000])));
+    assert!(answers[20..].iter().all(|answer| matches!(answer, Verdict::Refused { .. })));
+    // The oldest results are gone, but their keys do not run again.
+    bench.send(40, "lobby-confirm", Some("key 0"));
+    assert_eq!(bench.answers(bench.conns), [&Verdict::Failed]);
+    bench.send(40, "lobby-confirm", Some("key 19"));
+    assert_eq!(bench.answers(bench.conns), [&served(&[b'r'; 1_000])]);
+}
--- a/tests/program/floods.rs
+++ b/tests/program/floods.rs
@@ -92,3 +92,22 @@
     let longest = longest_answer(&program);
     assert!(longest < SERVED_WITHIN, "{longest:?}");
 }
+
+#[test]
+fn the_memory_limit_bounds_the_connections_of_clients() {
+    // Guards against half-written requests of many clients that fill the memory: only descriptors bounded connections.
+    let agent = Agent::start(1, Duration::from_millis(2), false);
+    let setup = Setup { memory_mb: Some(8), sockets: Some(1024), ..Setup::default() };
+    let program = Program::start(Setup { agent: Some(agent.address), ..setup });
+    let half_written = || {
+        let mut stream = connect(program.http);
+        stream.write_all(b"POST /do/queue-status HTTP/1.1\r\nX-Pad: p").unwrap();
+        stream
+    };
+    let before = program.descriptors();
+    let _clients: Vec<_> = (0..300).map(|_| half_written()).collect();
+    assert_eq!(exchange(program.http, &Request::new("queue-status", b"a").http()).body, b"made:a");
+    // 8 MB allow 102 connections, and 16 may be closing besides.
+    let open = program.descriptors() - before;
+    assert!(open <= 102 + 16, "{open} connections");
+}
--- a/tests/program/harness.rs
+++ b/tests/program/harness.rs
@@ -76,6 +76,8 @@
     pub appliance: String,
     /// Descriptors that the program may hold.
     pub sockets: Option<usize>,
+    /// Memory limit of the program in MB; by default none is stated.
+    pub memory_mb: Option<usize>,
     /// Time from the stop signal to the kill.
     pub stop_ms: Option<u64>,
     /// The fault injection library to load into the program.
@@ -137,10 +139,11 @@
         let address =
             |key: &str, at: Option<SocketAddr>| at.map_or(String::new(), |at| format!("\"{key}\":\"{at}\","));
         let config = format!(
-            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{"sockets":{}}},"stop_ms":{},"settings":{site}}}"#,
+            r#"{{"name":"n7","listen":"127.0.0.1:0","admin":"127.0.0.1:0","control":"{}",{}{}"seed":"1f","limits":{{{}"sockets":{}}},"stop_ms":{},"settings":{site}}}"#,
             control.local_addr().unwrap(),
             address("agent", setup.agent.or(setup.unawaited_agent)),
             address("vault", setup.vault),
+            setup.memory_mb.map_or(String::new(), |mb| format!(r#""memory_mb":{mb},"#)),
             setup.sockets.unwrap_or(1024),
             setup.stop_ms.unwrap_or(3200),
         );
