Bound the memory that keys fill, and that the keys of one caller fill

Callers saw: while one client sent keyed requests under ever new keys on one connection, requests of all others were held for 1.5 to 1.8 s, and then served or refused with 503, although the cores were idle. It lasts as long as the keys' window.

Cause: the entry of a key counts against the memory of the work for its whole window. Nothing but the memory bounded the entries: those of served requests grew to the share that starts may fill (0.85), where no run of anybody fits any more.

The cores (running 0 to 3 of 6), the agent and the link were idle in the log.

Change: entries fill at most 0.6 of the memory and those of one caller 0.4; beyond that held requests with new keys are refused at once, the last in the order of the queue first. One key always fits. Tries of a key that ran are joined as before. The entry is a type, and is made and removed in one place, where it is counted too.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -232,6 +232,7 @@
         self.make_calls(actions);
         self.refill_quota();
         let queue = self.queue();
+        self.shed_keys(&queue, actions);
         self.start_queued(&queue, actions);
         self.shed_memory(&queue, actions);
         self.shed(&queue, actions);
--- a/src/decisions/keys.rs
+++ b/src/decisions/keys.rs
@@ -1,11 +1,28 @@
 //! Idempotency keys: all tries of a deduplicated request share one run.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{DecisionEngine, Phase, TICK};
 use crate::interface::*;
 
+/// Part of the memory that the entries of all keys may fill, so that the rest is left for requests, and the part that
+/// those of one caller may fill, so that the rest of the room is left for the keys of others. A higher value refuses
+/// fewer keyed requests with long windows, a lower one leaves more to requests without keys.
+const KEYS_MEMORY_SHARE: f64 = 0.6;
+const CALLER_KEYS_MEMORY_SHARE: f64 = 0.4;
+
+/// An entry of the key table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct KeyEntry {
+    /// The try that it was made for.
+    holder: RequestId,
+    expires_at: Duration,
+    /// The caller of that try.
+    caller: u32,
+}
+
 /// The tries of one deduplicated request, which share its key.
 #[derive(Clone, Debug, Default)]
 pub(super) struct KeyGroup {
@@ -18,8 +35,8 @@
     /// A try that another one repeats and that never arrived here. It is assumed to have run, and what was known
     /// about it to be forgotten, unless it still arrives.
     unseen: Option<RequestId>,
-    /// The key's entry in the key table: the try that it was made for, and when it expires.
-    pub(super) entry: Option<(RequestId, Duration)>,
+    /// The key's entry in the key table.
+    entry: Option<KeyEntry>,
     /// When the first try that was seen here arrived.
     pub(super) first_arrival: Option<Duration>,
     forget_at: Duration,
@@ -35,7 +52,7 @@
 
     /// Whether a later try may name this one as the one that it repeats, although it is over.
     fn may_be_named(&self, id: RequestId) -> bool {
-        [self.started, self.unseen, self.entry.map(|(holder, _)| holder)].contains(&Some(id))
+        [self.started, self.unseen, self.entry.map(|entry| entry.holder)].contains(&Some(id))
     }
 }
 
@@ -47,6 +64,9 @@
     pub(super) group_of: BTreeMap<RequestId, RequestId>,
     /// When to check whether a group can be forgotten; at most one check for each.
     checks: BTreeSet<(Duration, RequestId)>,
+    /// Number of entries in the key table, in all and of each caller that has any.
+    entry_count: usize,
+    caller_entries: BTreeMap<u32, usize>,
     /// Tries that ended, or lost their part in a group, since the last decision.
     ended: Vec<RequestId>,
 }
@@ -110,6 +130,28 @@
         gone.tries.iter().for_each(|id| _ = self.group_of.remove(id));
     }
 
+    /// Makes the entry of a group, and returns the one that it replaces.
+    fn insert_entry(&mut self, group: RequestId, entry: KeyEntry) -> Option<KeyEntry> {
+        let previous = self.remove_entry(group);
+        self.groups.entry(group).or_default().entry = Some(entry);
+        self.entry_count += 1;
+        *self.caller_entries.entry(entry.caller).or_default() += 1;
+        previous
+    }
+
+    /// Removes the entry of a group, if it has one.
+    fn remove_entry(&mut self, group: RequestId) -> Option<KeyEntry> {
+        let entry = self.groups.get_mut(&group)?.entry.take()?;
+        self.entry_count -= 1;
+        if let Entry::Occupied(mut count) = self.caller_entries.entry(entry.caller) {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
+            }
+        }
+        Some(entry)
+    }
+
     /// Records that a try has ended, or that it has no longer the part for which it was kept.
     pub(super) fn try_ended(&mut self, id: RequestId) {
         if self.group_of.contains_key(&id) {
@@ -139,9 +181,11 @@
         g.forget_at = g.forget_at.max(arrived + window * 2);
         let ends = arrived + window + TICK;
         if !g.ran() && ends > self.now {
-            let previous = g.entry.replace((a.id, ends));
-            self.memory += if previous.is_none() { self.settings.key_size() } else { 0 };
-            previous.into_iter().for_each(|(holder, _)| self.key_groups.try_ended(holder));
+            let entry = KeyEntry { holder: a.id, expires_at: ends, caller: a.caller };
+            match self.key_groups.insert_entry(group, entry) {
+                Some(previous) => self.key_groups.try_ended(previous.holder),
+                None => self.memory += self.settings.key_size(),
+            }
             actions.push(Action::RememberKey { id: a.id, lifetime: ends - self.now });
         }
         self.key_groups.schedule_check(group, (ends + TICK).min(arrived + client_timeout * 2));
@@ -202,34 +246,68 @@
 
     /// Removes the key of a held try that ends without a run, unless another try with it still waits.
     pub(super) fn release_key(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let group = self.key_groups.group_of.get(&id).and_then(|g| self.key_groups.groups.get_mut(g));
         let waits = |g: &KeyGroup| g.tries.iter().any(|t| *t != id && self.requests.contains_key(t));
-        let Some(g) = group.filter(|g| !g.ran() && !waits(g)) else { return };
-        if let Some((holder, _)) = g.entry.take() {
-            self.memory = self.memory.saturating_sub(self.settings.key_size());
-            self.key_groups.try_ended(holder);
+        if self.key_groups.get(id).is_none_or(|g| g.ran() || waits(g)) {
+            return;
+        }
+        let group = self.key_groups.group_of[&id];
+        if let Some(holder) = self.end_entry(group) {
             actions.push(Action::ForgetKey(holder));
         }
     }
 
+    /// Removes the entry of a group and gives back its memory. Returns the try that it was made for.
+    fn end_entry(&mut self, group: RequestId) -> Option<RequestId> {
+        let entry = self.key_groups.remove_entry(group)?;
+        self.memory = self.memory.saturating_sub(self.settings.key_size());
+        self.key_groups.try_ended(entry.holder);
+        Some(entry.holder)
+    }
+
+    /// Keeps the keys of requests from filling the memory, and those of one caller from filling the room for keys: the
+    /// last held requests in the order of the queue are refused, unless their key ran.
+    pub(super) fn shed_keys(&mut self, queue: &[RequestId], actions: &mut Vec<Action>) {
+        let [all, of_one_caller] =
+            [KEYS_MEMORY_SHARE, CALLER_KEYS_MEMORY_SHARE].map(|share| self.max_keys(share));
+        for &id in queue.iter().rev() {
+            if self.key_groups.entry_count <= all.min(of_one_caller) {
+                break;
+            }
+            let Some(entry) = self.key_groups.get(id).filter(|g| !g.ran()).and_then(|g| g.entry) else {
+                continue;
+            };
+            if self.key_groups.entry_count > all
+                || self.key_groups.caller_entries[&entry.caller] > of_one_caller
+            {
+                self.log("no room for new keys: refusing held requests", actions);
+                self.refuse(id, actions);
+            }
+        }
+    }
+
+    /// How many keys fit into a share of the memory; one does at least.
+    fn max_keys(&self, share: f64) -> usize {
+        let keys = self.settings.memory_kb * 1000.0 * share / self.settings.key_size().max(1) as f64;
+        (keys as usize).max(1)
+    }
+
     /// Removes expired keys, and forgets key groups that no later try can name.
     pub(super) fn expire_keys(&mut self) {
         while let Some((at, group)) = self.key_groups.take_check(self.now) {
-            let Some(g) = self.key_groups.groups.get_mut(&group) else { continue };
+            let Some(g) = self.key_groups.groups.get(&group) else { continue };
             // A try that is still active may outlast a short window. No later try names one that ended without a run.
             if g.tries.iter().any(|t| self.requests.contains_key(t)) {
                 self.key_groups.schedule_check(group, self.now + TICK);
                 continue;
             }
-            if let Some((holder, _)) = g.entry.take_if(|(_, ends)| *ends + TICK < self.now) {
-                self.memory = self.memory.saturating_sub(self.settings.key_size());
-                self.key_groups.try_ended(holder);
+            if g.entry.is_some_and(|entry| entry.expires_at + TICK < self.now) {
+                self.end_entry(group);
             }
             let Some(g) = self.key_groups.groups.get(&group) else { continue };
             if g.entry.is_none() && (!g.ran() || g.forget_at <= at) {
                 self.key_groups.remove(group);
             } else {
-                let next = g.entry.map_or(g.forget_at, |(_, ends)| ends + TICK);
+                let next = g.entry.map_or(g.forget_at, |entry| entry.expires_at + TICK);
                 self.key_groups.schedule_check(group, next);
             }
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -488,3 +488,55 @@
     }
     assert_eq!(host.engine.key_try_count(), 0);
 }
+
+/// Has a caller send this many keyed requests, under new keys; each that is started is served. Returns how many were.
+fn serve_keyed(host: &mut TestHost, first: RequestId, count: u32, caller: u32) -> usize {
+    let ids: Vec<_> = (first..first + count).collect();
+    for &id in &ids {
+        host.arrive(id, 1, |a| a.caller = caller);
+        if host.issued(&Action::Start(id)) {
+            host.event(Event::Finished { id, outcome: Outcome::Done, took: ms(1) });
+        }
+    }
+    host.start_count(&ids)
+}
+
+/// 100 keys fill the memory.
+fn memory_of_100_keys() -> Settings {
+    Settings { memory_kb: 1_000.0, key_kb: 10.0, ..keyed_settings() }
+}
+
+#[test]
+fn keys_leave_memory_for_requests_without_one() {
+    // Guards against one client that sends keyed requests under ever new keys: those that were served filled the memory for
+    // their window, and everyone else's requests were held until they were refused.
+    let mut host = TestHost::new(memory_of_100_keys());
+    for (caller, first) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        serve_keyed(&mut host, first, 200, caller);
+    }
+    host.arrive(1, 0, |_| ());
+    assert!(host.issued(&Action::Start(1)));
+    host.arrive(2, 1, |_| ());
+    assert_eq!(host.answer_count(2), 1, "a new key is refused at once");
+}
+
+#[test]
+fn the_keys_of_one_caller_leave_room_for_those_of_others() {
+    // Guards against one client under ever new keys that leaves no room for the keys of others.
+    let mut host = TestHost::new(memory_of_100_keys());
+    assert_eq!(serve_keyed(&mut host, 1_000, 200, 1), 40);
+    assert_eq!(serve_keyed(&mut host, 2_000, 10, 2), 10);
+    // What the first caller holds is given back once the window of its keys is over.
+    host.run_until(15_000);
+    assert_eq!(serve_keyed(&mut host, 3_000, 200, 1), 40);
+}
+
+#[test]
+fn a_repeat_of_a_key_that_ran_is_joined_where_keys_have_no_room() {
+    // Guards against repeats that are turned away although their first try ran.
+    let mut host = TestHost::new(memory_of_100_keys());
+    serve_keyed(&mut host, 1_000, 200, 1);
+    host.arrive(1, 1, |a| a.repeats = Some(1_000));
+    host.advance(60);
+    assert!(host.issued(&Action::Join(1)));
+}
