--- a/src/lab/stand_in/agent.rs
+++ b/src/lab/stand_in/agent.rs
@@ -33,6 +33,8 @@
 #[derive(Default)]
 struct Told {
     launches: Vec<(String, String, Vec<u8>)>,
+    /// Commands that launch a run again, which do nothing here.
+    repeated_launches: usize,
     subscribed: Vec<u64>,
     replies: HashMap<String, Vec<u8>>,
     /// Runs that wait for a call: the notice that asks for it, and its body.
@@ -302,6 +304,7 @@
                 // A launch of what runs already does nothing, but this agent keeps no results: what ended meanwhile would run
                 // again, so that what must run once is never launched twice.
                 "launch" if told.launches.iter().any(|(h, ..)| *h == handle) => {
+                    told.repeated_launches += 1;
                     self.check_repeated_launch(&handle, &arg);
                 }
                 "launch" => {
@@ -393,6 +396,11 @@
         self.told.lock().unwrap().launches.clone()
     }
 
+    /// Number of commands that would have run a request a second time at an agent that forgot its first run.
+    pub fn repeated_launches(&self) -> usize {
+        self.told.lock().unwrap().repeated_launches
+    }
+
     pub fn subscribed(&self) -> Vec<u64> {
         self.told.lock().unwrap().subscribed.clone()
     }
--- a/src/net/lingering_close.rs
+++ b/src/net/lingering_close.rs
@@ -46,10 +46,11 @@
 /// Reads until the client closes its side, within limits of time and bytes.
 fn discard(stream: &mut impl Read, timeout: Duration, pacing: &Pacing) {
     let (mut bytes, mut discarded, mut in_this_turn, since) = (Vec::new(), 0, 0, Instant::now());
+    let mut turn_began = since;
     while discarded < MAX_DISCARDED && since.elapsed() < timeout {
         if in_this_turn >= BYTES_PER_TURN {
-            in_this_turn = 0;
-            pacing.pause();
+            pacing.pause_after(turn_began.elapsed());
+            (in_this_turn, turn_began) = (0, Instant::now());
         }
         bytes.clear();
         match read_some(stream, &mut bytes) {
--- a/src/net/pacing.rs
+++ b/src/net/pacing.rs
@@ -12,8 +12,12 @@
 
 /// The shortest pause.
 const MIN_PAUSE: Duration = Duration::from_millis(1);
-/// The time between two pieces of work, over all connections that pause.
-const WORK_INTERVAL: Duration = Duration::from_micros(100);
+/// The least time between two pieces of work, over all connections that pause.
+const MIN_WORK_INTERVAL: Duration = Duration::from_micros(100);
+/// The time between two pieces of work is at least this multiple of what a piece takes, so that the rest is left to others.
+const INTERVAL_PER_WORK: u32 = 4;
+/// A piece of work counts as no longer than this: the connection may have waited meanwhile.
+const MAX_WORK: Duration = Duration::from_millis(1);
 
 /// Counts the connections that pause.
 #[derive(Debug, Default)]
@@ -24,8 +28,14 @@
 impl Pacing {
     /// Pauses before a further piece of work. Must be called from a coroutine.
     pub(super) fn pause(&self) {
+        self.pause_after(Duration::ZERO);
+    }
+
+    /// Pauses before a further piece of work where the one before took this long. Must be called from a coroutine.
+    pub(super) fn pause_after(&self, worked: Duration) {
+        let interval = (worked.min(MAX_WORK) * INTERVAL_PER_WORK).max(MIN_WORK_INTERVAL);
         let pausing = self.pausing.fetch_add(1, Ordering::Relaxed) + 1;
-        spawn::sleep((WORK_INTERVAL * pausing).max(MIN_PAUSE));
+        spawn::sleep((interval * pausing).max(MIN_PAUSE));
         self.pausing.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/tests/program/floods.rs
+++ b/tests/program/floods.rs
@@ -1,63 +1,16 @@
 //! Clients that send at full speed: they take their share of the program's time, and no other client's.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::thread;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::bad_clients::Flood;
 use crate::harness::*;
 
 /// The time in which another client is served meanwhile: its requests are wanted within 1.8 s.
 const SERVED_WITHIN: Duration = Duration::from_millis(1000);
 
-/// Clients that each write a head and then fill without end, read all that comes, and connect again when they are closed.
-struct Flood {
-    stop: Arc<AtomicBool>,
-    thread: Option<thread::JoinHandle<()>>,
-}
-
-impl Flood {
-    fn start(program: &Program, clients: usize, head: &'static [u8], fill: Vec<u8>) -> Self {
-        let (stop, address) = (Arc::new(AtomicBool::new(false)), program.http);
-        let stopped = stop.clone();
-        let thread = thread::spawn(move || {
-            let open = || {
-                let stream = connect(address);
-                let _ = (&stream).write_all(head);
-                stream.set_nonblocking(true).unwrap();
-                stream
-            };
-            let mut streams: Vec<_> = (0..clients).map(|_| open()).collect();
-            let mut buffer = vec![0; 1 << 16];
-            while !stopped.load(Ordering::Relaxed) {
-                for stream in &mut streams {
-                    if !go_on(stream, &fill, &mut buffer) {
-                        *stream = open();
-                    }
-                }
-            }
-        });
-        Self { stop, thread: Some(thread) }
-    }
-}
-
-impl Drop for Flood {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let _ = self.thread.take().map(thread::JoinHandle::join);
-    }
-}
-
-/// Writes and reads what is possible without waiting; returns false once the peer has closed.
-fn go_on(stream: &mut TcpStream, fill: &[u8], buffer: &mut [u8]) -> bool {
-    let goes_on = |result: std::io::Result<usize>| match result {
-        Ok(count) => count > 0,
-        Err(e) => e.kind() == ErrorKind::WouldBlock,
-    };
-    goes_on(stream.write(fill)) && goes_on(stream.read(buffer))
-}
+static NEXT_KEY: AtomicU64 = AtomicU64::new(0);
 
 /// Has another client ask for a second, on a new connection each time; returns how long it took at most.
 fn longest_answer(program: &Program) -> Duration {
@@ -77,7 +30,7 @@
     let agent = Agent::start(6, Duration::from_millis(2), false);
     let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
     let checks = b"GET /check HTTP/1.1\r\n\r\n".repeat(1_000);
-    let _flood = Flood::start(&program, 200, b"", checks);
+    let _flood = Flood::start(program.http, 200, b"", move || checks.clone());
     let longest = longest_answer(&program);
     assert!(longest < SERVED_WITHIN, "{longest:?}");
 }
@@ -88,7 +41,21 @@
     let agent = Agent::start(6, Duration::from_millis(2), false);
     let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
     let head = b"POST /do/queue-status HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
-    let _flood = Flood::start(&program, 400, head, vec![b'z'; 1 << 18]);
+    let _flood = Flood::start(program.http, 400, head, || vec![b'z'; 1 << 18]);
+    let longest = longest_answer(&program);
+    assert!(longest < SERVED_WITHIN, "{longest:?}");
+}
+
+#[test]
+fn a_client_that_sends_ever_new_keys_does_not_keep_others_waiting() {
+    // Guards against keys of served requests that fill the memory of the work: other requests were held until they were
+    // refused, for the window of the keys.
+    let agent = Agent::start(6, Duration::from_millis(2), false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let new_key =
+        || Request::keyed(&format!("key {}", NEXT_KEY.fetch_add(1, Ordering::Relaxed)), b"k").http();
+    let _flood = Flood::start(program.http, 3, b"", new_key);
+    wait_for("the keys", || agent.launches().len() > 100);
     let longest = longest_answer(&program);
     assert!(longest < SERVED_WITHIN, "{longest:?}");
 }
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -6,6 +6,8 @@
 mod appliance;
 mod asks;
 mod authority;
+#[path = "../common/bad_clients.rs"]
+mod bad_clients;
 mod clock;
 mod closing;
 mod command_errors;
