Count a key of the greatest length with the memory that it takes

Operators would see: at the least limit, clients that fill the table with long keys take a quarter of the memory and more on top of the share that keys have, beside full shares of connections and results over the limit.

Cause: the budget counted a key with 512 bytes.

Change: 1,280 bytes a key, so 6,553 keys at 32 MB and 9,830 at 48 MB. The share stays a quarter.

--- a/src/settings/memory.rs
+++ b/src/settings/memory.rs
@@ -6,8 +6,9 @@
 
 /// What a client's connection takes at most: its buffers, and the pages of its coroutine's stack that were used.
 const CONNECTION_BYTES: f64 = 40.0 * 1024.0;
-/// What a key takes in the reducer and in the decision module, without a result.
-const KEY_BYTES: f64 = 512.0;
+/// What a key of the greatest length takes in the reducer and in the decision module, with the id of its run but without
+/// a result.
+const KEY_BYTES: f64 = 1280.0;
 /// The most keys and results that are kept, whatever the limit.
 const MAX_KEYS: usize = 50_000;
 const MAX_RESULT_BYTES: usize = 16 << 20;
--- a/tests/program/floods.rs
+++ b/tests/program/floods.rs
@@ -78,3 +78,20 @@
     let open = program.descriptors() - before;
     assert!(open <= 102 + 16, "{open} connections");
 }
+
+#[test]
+fn the_memory_limit_bounds_the_keys_of_clients() {
+    // Guards against keys that take more memory than they are counted with.
+    let agent = Agent::start(6, Duration::ZERO, false);
+    let site = vec![(r#""kb_per_key": 117.75"#, r#""kb_per_key": 0.01"#)];
+    let setup = Setup { memory_mb: Some(8), site, ..Setup::default() };
+    let program = Program::start(Setup { agent: Some(agent.address), ..setup });
+    let new_key =
+        || Request::keyed(&format!("{:0>250}", NEXT_KEY.fetch_add(1, Ordering::Relaxed)), b"k").http();
+    let before_kb = program.anonymous_kb();
+    let _flood = Flood::start(program.http, 6, b"", new_key);
+    wait_for("the refusal of new keys", || program.counter("refused") > 1_000);
+    let growth_kb = program.anonymous_kb() - before_kb;
+    // A quarter of 8 MB is for keys; connections, the log and what runs take the rest.
+    assert!(growth_kb < 3 << 10, "{growth_kb} kB for {} keys", agent.launches().len());
+}
--- a/tests/program/harness.rs
+++ b/tests/program/harness.rs
@@ -262,8 +262,17 @@
 
     /// Resident memory of the program, in kilobytes.
     pub fn resident_kb(&self) -> u64 {
+        self.memory_kb("VmRSS:")
+    }
+
+    /// Resident memory that belongs to the program alone, in kilobytes.
+    pub fn anonymous_kb(&self) -> u64 {
+        self.memory_kb("RssAnon:")
+    }
+
+    fn memory_kb(&self, field: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix(field)).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
