Give the errors of standby orders samples, so that their help is checked

Cause: the type came with, without the samples that the test of all error types wants; that test was not run then. Change: both variants are among the samples.

--- a/tests/errors/types.rs
+++ b/tests/errors/types.rs
@@ -25,6 +25,7 @@
 use hopwalk::lab::routes::LabError;
 use hopwalk::lab::scenario::ScenarioError;
 use hopwalk::lab::sim::command::SeedsError;
+use hopwalk::net::admin::StandbyError;
 use hopwalk::net::error::{
     self as net_error, Excerpt, HandoverLineError, NodeError, NoticeError, ReplyError, ResponseError,
 };
@@ -81,6 +82,7 @@
                 HandoverAborted,
             }),
         ),
+        ("src/net/admin.rs", "StandbyError", samples!(StandbyError { NotTakenOver, NotShared })),
         (
             "src/net/error.rs",
             "LineError",
