Answer a standby order that meets the end of the other process once that is certain

Operators would see: POST /undrain at the new process of an upgrade is answered 503 ("not known to be in force in every process") although the old process has just ended and the order is in force.

A process that ends closes its link some milliseconds before the thread of the link finds it gone and reports the exit; an order in between found neither a link nor an exit. On a slow machine the moment is longer.

Ruled out: an order before the takeover (the health check before it was answered by the new process), and the 800 ms of the order's timeout (the answer came at once).

`core/standby.rs` has the orders now; `PeerLink` takes the place of two flags of the successor, and says the same of the predecessor.

The test of the reducer needs the new input and was not run on the old code.

--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -240,6 +240,7 @@
             Effect::ShareStandby { standby, with, .. } => {
                 with.iter().for_each(|_| self.say(n, &HandoverMessage::Standby(standby)));
             }
+            Effect::StandbyOutcome { .. } => {}
             Effect::Forward(request) => self.say(n, &HandoverMessage::Request(request)),
             Effect::KeyResolved { key, ran, result } => {
                 self.say(n, &HandoverMessage::KeyResolved(key, ran, result))
--- a/src/core/answers.rs
+++ b/src/core/answers.rs
@@ -11,7 +11,7 @@
 impl Core {
     pub(super) fn refuse(&mut self, now: Duration, id: RequestId, retry_after: Duration, no_retry: bool) {
         // A retry-after time would keep clients away from the successor, which continues to serve.
-        let (retry_after, no_retry) = match self.peer.has_taken_over {
+        let (retry_after, no_retry) = match self.peer.has_taken_over() {
             true => (Duration::ZERO, false),
             false => (retry_after, no_retry),
         };
@@ -105,7 +105,7 @@
     }
 
     pub(super) fn answer(&mut self, conn: ConnId, verdict: Verdict) {
-        let has_taken_over = self.peer.has_taken_over;
+        let has_taken_over = self.peer.has_taken_over();
         let signal = self.signal.filter(|_| !has_taken_over);
         self.send_answer(conn, Answer { verdict, signal, close: self.grace_over || has_taken_over });
     }
--- a/src/core/arrivals.rs
+++ b/src/core/arrivals.rs
@@ -19,7 +19,7 @@
         let is_expired = |at: &usize| self.served_until.get(at).is_some_and(|until| *until < now);
         let class = class.filter(|at| !is_expired(at));
         let is_active_here = self.handles.contains_key(&request.handle);
-        if self.peer.has_taken_over && !is_active_here {
+        if self.peer.has_taken_over() && !is_active_here {
             return self.forward(now, request);
         }
         let Some(class) = class else {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! `arrivals`, `answers` and `answer_deadlines` handle requests and their answers; `runs`, `delivery`, `calls` and
 //! `call_routes` the runs at the agent and their calls; [`keys`] the idempotency keys; `succession` the handover
-//! between two processes; `shutdown` the drain; and `reload` new settings.
+//! between two processes, and `standby` orders to both of them; `shutdown` the drain; and `reload` new settings.
 
 mod answer_deadlines;
 mod answers;
@@ -25,6 +25,7 @@
 mod reply;
 mod runs;
 mod shutdown;
+mod standby;
 mod succession;
 mod types;
 
@@ -46,6 +47,7 @@
 use log_limit::LogLimit;
 use past_runs::PastRuns;
 pub use reply::{AskId, CallReply, ReplyDigest, ReplyOrigin};
+use standby::UnsentStandbyOrder;
 pub use types::*;
 
 /// How long requested gauges are awaited. The decision module's timers must not stop if the agent sends none.
@@ -141,6 +143,8 @@
     healthy: bool,
     /// Operators want clients to stay away.
     standby: bool,
+    /// Standby orders of which peer processes could not be told.
+    unsent_standby_orders: Vec<UnsentStandbyOrder>,
     /// Whether lease reports to the control plane say that this matcher is ready.
     reported_ready: bool,
     signal: Option<f64>,
@@ -188,6 +192,7 @@
             routes: None,
             healthy: true,
             standby: false,
+            unsent_standby_orders: Vec::new(),
             reported_ready: true,
             signal: None,
             deadlines: AnswerDeadlines::default(),
@@ -240,7 +245,7 @@
         self.process_events(now, &mut actions);
         self.exit_when_done();
         self.request_acknowledgement();
-        let ready = self.accepts_clients() && (self.drain.is_none() || self.peer.has_taken_over);
+        let ready = self.accepts_clients() && (self.drain.is_none() || self.peer.has_taken_over());
         if std::mem::replace(&mut self.reported_ready, ready) != ready {
             self.effects.push(Effect::ReportReadiness(ready));
         }
@@ -252,7 +257,7 @@
     /// Whether clients should send requests to this matcher. After a handover the successor serves at the same
     /// address, so this process must not send its clients away.
     fn accepts_clients(&self) -> bool {
-        (self.healthy || self.peer.has_taken_over) && !self.standby
+        (self.healthy || self.peer.has_taken_over()) && !self.standby
     }
 
     fn arm(&mut self, at: Duration, timer: Timer) {
@@ -303,6 +308,7 @@
             }
             Input::Succession(message) => self.handle_succession(now, message),
             Input::Standby { standby, ticket } => self.order_standby(standby, None, Some(ticket)),
+            Input::StandbyNotSent { peer, ticket } => self.standby_not_sent(peer, ticket),
             Input::Reload { site, stop_after } => {
                 self.reload(now, *site);
                 self.update_stop_time(now, stop_after);
--- a/src/core/shutdown.rs
+++ b/src/core/shutdown.rs
@@ -57,7 +57,7 @@
         let signalled_at = signalled_at.min(now);
         let kill_after = earliest_kill(self.stop_after, &self.site);
         let until_close = kill_after.saturating_sub(CLOSE_TIME);
-        if self.peer.has_taken_over {
+        if self.peer.has_taken_over() {
             // The matcher does not leave its fleet, as the successor continues to serve. Requests that are active here
             // are completed, and new ones are forwarded.
             self.grace_over = true;
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -19,6 +19,18 @@
 const LACKS_KEYS: &str =
     "a new process has to wait for the keys: until their windows end, an earlier successor may have run keys that are unknown here";
 
+/// The link to a process with which this one shares the matcher's address.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum PeerLink {
+    /// There is no such process.
+    #[default]
+    None,
+    /// The process can be reached.
+    Up,
+    /// The process lives on, but can no longer be reached.
+    Broken,
+}
+
 /// What a reducer knows of its peer process.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PeerState {
@@ -26,10 +38,10 @@
     waiters: HashMap<RequestId, Vec<RequestId>>,
     /// The keys of these runs. The table of keys may forget a key before the predecessor reports the end of its run.
     open_keys: HashMap<Key, RequestId>,
-    /// A successor has taken over: requests that arrive are forwarded to it.
-    pub(super) has_taken_over: bool,
-    /// The successor has taken over and lives on, but requests can no longer be forwarded to it.
-    is_unreachable: bool,
+    /// The successor that has taken over: requests that arrive are forwarded to it.
+    pub(super) successor: PeerLink,
+    /// The predecessor that has handed over.
+    pub(super) predecessor: PeerLink,
     /// The predecessor has handed over all keys.
     has_all_keys: bool,
     /// Both processes run and may call the dependency: each keeps to half of the matcher's share.
@@ -44,7 +56,12 @@
 impl PeerState {
     /// Whether this process is to take over and the predecessor has not handed over all keys yet.
     fn awaits_keys(&self) -> bool {
-        self.is_running && !self.has_taken_over && !self.has_all_keys
+        self.is_running && !self.has_taken_over() && !self.has_all_keys
+    }
+
+    /// Whether a successor has taken over.
+    pub(super) fn has_taken_over(&self) -> bool {
+        self.successor != PeerLink::None
     }
 
     /// Number of the predecessor's runs whose end it has not reported.
@@ -73,6 +90,7 @@
             }
             Succession::KeysComplete { standby } => {
                 self.peer.has_all_keys = true;
+                self.peer.predecessor = PeerLink::Up;
                 // Only operators end a standby; a new version of the program does not.
                 self.standby |= standby;
                 self.effects.push(Effect::Listen);
@@ -86,9 +104,15 @@
             Succession::PredecessorDisconnected if !self.peer.has_all_keys => {
                 self.effects.push(Effect::AbortTakeover)
             }
-            Succession::PredecessorDisconnected => self.end_joins_with_predecessor(now),
+            Succession::PredecessorDisconnected => {
+                self.peer.predecessor = PeerLink::Broken;
+                self.resolve_standby_orders(Peer::Predecessor, false);
+                self.end_joins_with_predecessor(now);
+            }
             Succession::PredecessorRunning => self.set_call_share_halved(true),
             Succession::PredecessorExited => {
+                self.peer.predecessor = PeerLink::None;
+                self.resolve_standby_orders(Peer::Predecessor, true);
                 self.set_call_share_halved(false);
                 self.end_joins_with_predecessor(now);
                 self.effects.push(Effect::PeerExited);
@@ -106,13 +130,19 @@
                 }
             }
             // Nothing was handed over to this successor.
-            Succession::SuccessorDisconnected | Succession::SuccessorExited if !self.peer.has_taken_over => {
+            Succession::SuccessorDisconnected | Succession::SuccessorExited
+                if !self.peer.has_taken_over() =>
+            {
                 self.peer.successor_waits = false;
             }
             // The successor runs keys without this process being notified: no run may begin here until it has ended.
-            Succession::SuccessorDisconnected => self.abandon_successor(),
+            Succession::SuccessorDisconnected => {
+                self.abandon_successor();
+                self.resolve_standby_orders(Peer::Successor, false);
+            }
             Succession::SuccessorExited => {
-                (self.peer.has_taken_over, self.peer.is_unreachable) = (false, false);
+                self.peer.successor = PeerLink::None;
+                self.resolve_standby_orders(Peer::Successor, true);
                 self.set_call_share_halved(false);
                 self.fail_forwarded();
                 let windows = self.site.settings.classes.iter().map(|c| c.window);
@@ -122,21 +152,6 @@
         }
     }
 
-    /// Carries out an order of operators that clients stay away or return. All processes of the matcher answer health
-    /// checks, so the order is passed on to the other ones: to all but the one that it came from.
-    pub(super) fn order_standby(&mut self, standby: bool, from: Option<Peer>, ticket: Option<u64>) {
-        if std::mem::replace(&mut self.standby, standby) != standby {
-            let order = if standby { "clients are kept away" } else { "clients are accepted again" };
-            self.effects.push(Effect::Log(format!("ordered by operators: {order}")));
-        }
-        // A successor that has not taken over yet gets the order with the keys.
-        let successor = self.peer.has_taken_over.then_some(Peer::Successor);
-        let predecessor = self.peer.has_all_keys.then_some(Peer::Predecessor);
-        let with =
-            [successor, predecessor].into_iter().flatten().filter(|peer| Some(*peer) != from).collect();
-        self.effects.push(Effect::ShareStandby { standby, with, ticket });
-    }
-
     /// Whether a successor that ended may have run keys that are unknown here and of which tries may still arrive or
     /// be read.
     fn may_lack_keys(&self, now: Duration) -> bool {
@@ -147,7 +162,7 @@
     /// Hands all keys over to the successor, which makes all decisions from then on.
     fn hand_over(&mut self, now: Duration) {
         self.peer.successor_waits = false;
-        self.peer.has_taken_over = true;
+        self.peer.successor = PeerLink::Up;
         self.set_call_share_halved(true);
         let predecessor_keys = &self.peer.open_keys;
         let is_open = |key: &KeyState| key.open || predecessor_keys.contains_key(&key.key);
@@ -214,8 +229,8 @@
     }
 
     /// Stops forwarding to the successor. Requests that were forwarded to it are failed here.
-    pub(super) fn abandon_successor(&mut self) {
-        self.peer.is_unreachable = self.peer.has_taken_over;
+    fn abandon_successor(&mut self) {
+        self.peer.successor = PeerLink::Broken;
         self.fail_forwarded();
     }
 
@@ -228,7 +243,7 @@
 
     /// Forwards a request to the successor.
     pub(super) fn forward(&mut self, now: Duration, request: Request) {
-        if self.peer.is_unreachable || self.deadlines.has_ended(now) {
+        if self.peer.successor == PeerLink::Broken || self.deadlines.has_ended(now) {
             self.counters.refused += 1;
             let refusal = Verdict::Refused { retry_after: Duration::ZERO, no_retry: false };
             return self.answer(request.conn, refusal);
@@ -258,7 +273,7 @@
     /// for its predecessor to report that key.
     pub(super) fn report_resolved_key(&mut self, key: &Key) {
         let is_awaited = self.peer.open_keys.contains_key(key);
-        if self.peer.has_taken_over && !is_awaited && !self.keys.is_open(key) {
+        if self.peer.has_taken_over() && !is_awaited && !self.keys.is_open(key) {
             let (ran, result) = (self.keys.run_of(key).is_some(), self.keys.result(key));
             self.effects.push(Effect::KeyResolved { key: key.clone(), ran, result });
         }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -164,13 +164,20 @@
     /// A message from the predecessor or the successor, or a change of their state.
     Succession(Succession),
     /// Operators want clients to stay away (`true`) or to return (`false`). Requests that arrive nevertheless are
-    /// served as usual. The order is answered by [`Effect::ShareStandby`].
+    /// served as usual. The order is answered by [`Effect::ShareStandby`] or [`Effect::StandbyOutcome`].
     Standby {
         /// Clients are to stay away.
         standby: bool,
         /// Returned with the answer.
         ticket: u64,
     },
+    /// A peer process could not be told of a standby order, as the link to it has ended.
+    StandbyNotSent {
+        /// The process that was not told.
+        peer: Peer,
+        /// The ticket of the order.
+        ticket: u64,
+    },
     /// The configuration was reloaded: classes and link addresses may have changed.
     Reload {
         /// The part of the configuration that the decision module needs.
@@ -536,7 +543,8 @@
         /// Operators want clients to stay away.
         standby: bool,
     },
-    /// Tell peer processes of a standby order, and answer the order: with yes once all of them have been told.
+    /// Tell peer processes of a standby order. The order is answered with yes if all of them have been told, else
+    /// [`Input::StandbyNotSent`] reports those that have not.
     ShareStandby {
         /// Clients are to stay away.
         standby: bool,
@@ -545,6 +553,13 @@
         /// The ticket of the order, if it came from this process's own operators.
         ticket: Option<u64>,
     },
+    /// Answer a standby order.
+    StandbyOutcome {
+        /// The ticket of the order.
+        ticket: u64,
+        /// The order is in force in all processes of this matcher.
+        is_shared: bool,
+    },
     /// Forward a request to the successor.
     Forward(Box<Request>),
     /// Report to the successor what became of a key that was open when it was handed over.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -290,13 +290,24 @@
         }
     }
 
-    /// Sends a standby order to a peer process. Returns false if that process lives and cannot be told.
+    /// Sends a standby order to a peer process. Returns false if the link to it has ended.
     fn send_standby(&self, peer: Peer, standby: bool) -> bool {
-        let message = handover::HandoverMessage::Standby(standby);
-        match (peer, &self.predecessor) {
-            (Peer::Successor, _) => self.successor.send(message),
-            (Peer::Predecessor, Some(predecessor)) => predecessor.send(message),
-            (Peer::Predecessor, None) => true,
+        let process = match peer {
+            Peer::Successor => Some(&self.successor),
+            Peer::Predecessor => self.predecessor.as_ref(),
+        };
+        process.is_some_and(|process| process.send(handover::HandoverMessage::Standby(standby)))
+    }
+
+    /// Passes a standby order on to peer processes, and answers it if they have all been told.
+    fn share_standby(&self, standby: bool, with: Vec<Peer>, ticket: Option<u64>) {
+        let not_sent: Vec<_> = with.into_iter().filter(|peer| !self.send_standby(*peer, standby)).collect();
+        let Some(ticket) = ticket else { return };
+        if not_sent.is_empty() {
+            self.hub.standby_orders.answer(ticket, true);
+        }
+        for peer in not_sent {
+            self.hub.push_nonblocking(Input::StandbyNotSent { peer, ticket });
         }
     }
 
@@ -453,10 +464,10 @@
                 }
             }
             Effect::ShareStandby { standby, with, ticket } => {
-                let is_shared = with.into_iter().all(|peer| self.send_standby(peer, standby));
-                if let Some(ticket) = ticket {
-                    self.hub.standby_orders.answer(ticket, is_shared);
-                }
+                self.share_standby(standby, with, ticket);
+            }
+            Effect::StandbyOutcome { ticket, is_shared } => {
+                self.hub.standby_orders.answer(ticket, is_shared);
             }
             Effect::Forward(mut request) => {
                 request.start = self.hub.clock.to_wall(request.start);
--- a/tests/core/succession.rs
+++ b/tests/core/succession.rs
@@ -211,3 +211,25 @@
         assert_eq!(bench.answers(900), [&Verdict::Healthy]);
     }
 }
+
+#[rstest]
+#[case::the_other_one_has_ended(Succession::PredecessorExited, true)]
+#[case::the_other_one_lives_on(Succession::PredecessorDisconnected, false)]
+fn a_standby_order_that_meets_the_end_of_the_other_process_is_answered_when_that_is_certain(
+    #[case] end: Succession,
+    #[case] is_shared: bool,
+) {
+    // Guards against an order that is refused in the instant between the other process's end and the notice of it.
+    let outcomes = |effects: Vec<Effect>| -> Vec<Effect> {
+        effects.into_iter().filter(|e| matches!(e, Effect::StandbyOutcome { .. })).collect()
+    };
+    let not_sent = |ticket| Input::StandbyNotSent { peer: Peer::Predecessor, ticket };
+    let outcome = |ticket| Effect::StandbyOutcome { ticket, is_shared };
+    let (_, mut new, _) = after_handover();
+    assert_eq!(outcomes(new.step(10, [Input::Standby { standby: true, ticket: 7 }])), []);
+    assert_eq!(outcomes(new.step(10, [not_sent(7)])), []);
+    assert_eq!(outcomes(new.step(20, [Input::Succession(end.clone())])), [outcome(7)]);
+    // The report may also come behind the notice of the end.
+    assert_eq!(outcomes(new.step(21, [not_sent(8)])), [outcome(8)]);
+    assert_eq!(outcomes(new.step(30, [Input::Succession(end)])), []);
+}
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -1,5 +1,7 @@
 //! Upgrades: a new process of the same matcher takes over from the running one.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use super::*;
 
 #[test]
@@ -290,6 +292,31 @@
     assert_eq!(exchange(new.http, &Request::new("queue-status", b"a").http()).body, b"made:a");
 }
 
+#[test]
+fn orders_are_confirmed_while_the_other_process_of_an_upgrade_ends() {
+    // Guards against an order that is refused in the instant between the old process's end and the notice of it.
+    const OPERATORS: usize = 8;
+    const ORDERS_AFTERWARDS: usize = 40;
+    let agent = Agent::start(1, SHORT_RUN, false);
+    let mut old = Program::start(with_agent(&agent));
+    let new = old.successor(&agent, &Agent::start(1, SHORT_RUN, false));
+    let has_ended = AtomicBool::new(false);
+    let give_orders = || {
+        let order = || assert_eq!(new.admin_status("POST", "/undrain"), 200);
+        while !has_ended.load(Ordering::Relaxed) {
+            order();
+        }
+        (0..ORDERS_AFTERWARDS).for_each(|_| order());
+    };
+    std::thread::scope(|scope| {
+        (0..OPERATORS).for_each(|_| _ = scope.spawn(give_orders));
+        old.signal("KILL");
+        old.wait_for_exit();
+        has_ended.store(true, Ordering::Relaxed);
+    });
+    wait_for_checks(new.http, 200);
+}
+
 #[test]
 fn a_process_that_has_not_taken_over_refuses_orders_to_drain() {
     // Guards against a drain that is confirmed by a process which no client reaches.
