Encode the keys of a handover one at a time while they are written

Cause: the predecessor encoded all keys, with their results in base64, before it wrote the first one: twice the size of what it hands over, on top of it.

Ruled out: the connections that are evicted for the upgrade (closing 400 at once adds 0.1 MB), and the list of the keys itself, which shares keys and results with the table.

Change: a message is turned into lines that are made when they are asked for (`HandoverMessage::into_lines`), and each is written before the next one is made. The format is unchanged. The encoding of each kind of line is a function of its own now.

--- a/fuzz/src/targets/codecs.rs
+++ b/fuzz/src/targets/codecs.rs
@@ -216,7 +216,7 @@
             }
             ReceivedMessage::Succession(_) => HandoverMessage::Begin,
         };
-        let lines = word.to_lines();
+        let lines: Vec<_> = word.into_lines().collect();
         let again = handover::parse(lines[0].trim_end_matches('\n'));
         assert_eq!(again, Ok(heard.clone()), "{lines:?}");
         let is_answer = matches!(&heard, ReceivedMessage::Succession(Succession::ForwardedAnswer { .. }));
--- a/fuzz/src/targets/world.rs
+++ b/fuzz/src/targets/world.rs
@@ -234,20 +234,20 @@
                 }
             }
             Effect::HandOver { keys, past_runs, standby } => {
-                self.say(n, &HandoverMessage::PastRuns { handles: past_runs, until: self.now });
-                self.say(n, &HandoverMessage::Keys(keys, standby));
+                self.say(n, HandoverMessage::PastRuns { handles: past_runs, until: self.now });
+                self.say(n, HandoverMessage::Keys(keys, standby));
             }
             Effect::ShareStandby { standby, with, .. } => {
-                with.iter().for_each(|_| self.say(n, &HandoverMessage::Standby(standby)));
+                with.iter().for_each(|_| self.say(n, HandoverMessage::Standby(standby)));
             }
             Effect::StandbyOutcome { .. } => {}
-            Effect::Forward(request) => self.say(n, &HandoverMessage::Request(request)),
+            Effect::Forward(request) => self.say(n, HandoverMessage::Request(request)),
             Effect::KeyResolved { key, ran, result } => {
-                self.say(n, &HandoverMessage::KeyResolved(key, ran, result))
+                self.say(n, HandoverMessage::KeyResolved(key, ran, result))
             }
             Effect::Ready => {
                 if n == 1 && self.pipe.up && !std::mem::replace(&mut self.nodes[n].begun, true) {
-                    self.say(n, &HandoverMessage::Begin);
+                    self.say(n, HandoverMessage::Begin);
                 }
             }
             Effect::Listen | Effect::PeerExited => {
@@ -278,7 +278,7 @@
 
     fn answered(&mut self, n: usize, conn: ConnId, answer: &Answer) {
         if let Some(there) = self.nodes[n].passed.remove(&conn) {
-            return self.say(n, &HandoverMessage::Answer(there, Arc::new(answer.clone())));
+            return self.say(n, HandoverMessage::Answer(there, Arc::new(answer.clone())));
         }
         if let Some(at) = self.nodes[n].checks.iter().position(|c| *c == conn) {
             self.nodes[n].checks.remove(at);
@@ -483,9 +483,9 @@
 
     // ---- Two processes --------------------------------------------------------------------------------
 
-    fn say(&mut self, n: usize, word: &HandoverMessage) {
+    fn say(&mut self, n: usize, word: HandoverMessage) {
         if self.pipe.up {
-            let lines = word.to_lines().into_iter();
+            let lines = word.into_lines();
             self.pipe.to[1 - n].extend(lines.map(|line| Told::Line(line.trim_end_matches('\n').to_string())));
         }
     }
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -173,7 +173,6 @@
     }
 }
 
-/// Writes queued messages until the queue is closed or a write fails.
 /// Logs why a line cannot be read, and what an operator can do.
 fn warn_unreadable(error: &dyn Diagnostic) {
     warn!("unreadable line from the peer process: closing the handover link: {error}");
@@ -182,16 +181,12 @@
     }
 }
 
+/// Writes queued messages until the queue is closed or a write fails.
 fn write_messages(stream: &UnixStream, queue: &Receiver<HandoverMessage>) {
     let mut writes = BufWriter::new(stream);
     while let Ok(message) = queue.recv() {
-        let lines = message.to_lines();
-        if lines
-            .into_iter()
-            .try_for_each(|l| writes.write_all(l.as_bytes()))
-            .and_then(|()| writes.flush())
-            .is_err()
-        {
+        let written = message.into_lines().try_for_each(|line| writes.write_all(line.as_bytes()));
+        if written.and_then(|()| writes.flush()).is_err() {
             let _ = stream.shutdown(Shutdown::Both);
             return;
         }
--- a/src/net/handover/wire.rs
+++ b/src/net/handover/wire.rs
@@ -1,8 +1,9 @@
 //! The format of the handover link, without I/O: each message is one or more lines of fields.
 //!
 //! Fields are set apart by one space. Numbers are written in one way only, and a line that is not exactly what
-//! [`HandoverMessage::to_lines`] writes, in this version or in an earlier one, is an error.
+//! [`HandoverMessage::into_lines`] writes, in this version or in an earlier one, is an error.
 
+use std::iter;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,71 +54,86 @@
 }
 
 impl HandoverMessage {
-    /// Encodes the message as lines, each with its line end.
-    pub fn to_lines(&self) -> Vec<String> {
-        let key = |key: &Key| encode_base64(Some(key.as_bytes()));
+    /// Encodes the message as lines, each with its line end. A line is made when it is asked for: all keys and results
+    /// at once, encoded, would take more memory than the keys themselves.
+    pub fn into_lines(self) -> Box<dyn Iterator<Item = String>> {
         match self {
-            Self::Begin => vec!["begin\n".to_string()],
             Self::Keys(keys, standby) => {
-                let line = |k: &KeyState| {
-                    let (until, open, result) =
-                        (k.until.as_micros(), u8::from(k.open), encode_base64(k.result.as_deref()));
-                    format!("key {} {:x} {until} {open} {result}\n", key(&k.key), k.digest)
-                };
-                keys.iter().map(line).chain([complete_line(*standby)]).collect()
+                let lines = keys.into_iter().map(|key| key_line(&key));
+                Box::new(lines.chain(iter::once_with(move || complete_line(standby))))
             }
             Self::PastRuns { handles, until } => {
-                let line = |handle: &Handle| {
-                    let key = format!("{PAST_RUN_PREFIX}{handle}");
-                    format!("key {} 0 {} 0 -\n", encode_base64(Some(key.as_bytes())), until.as_micros())
-                };
-                handles.iter().map(line).collect()
-            }
-            Self::Standby(standby) => vec![complete_line(*standby)],
-            Self::KeyResolved(k, ran, result) => {
-                vec![format!("settled {} {} {}\n", key(k), u8::from(*ran), encode_base64(result.as_deref()))]
-            }
-            Self::Request(r) => {
-                let micros = |t: Option<Duration>| t.map_or("-".to_string(), |t| t.as_micros().to_string());
-                let (timeout, cost) = (micros(r.timeout), micros(r.cost));
-                // The name of the object is appended only if there is one: a process of a version that does not know
-                // this field can then still read the other requests.
-                let object = r
-                    .object
-                    .as_ref()
-                    .map_or(String::new(), |o| " ".to_string() + &encode_base64(Some(o.as_bytes())));
-                vec![format!(
-                    "request {} {} {} {} {timeout} {} {} {} {} {} {} {} {cost}{object}\n",
-                    r.conn,
-                    r.handle,
-                    encode_base64(Some(r.class.as_bytes())),
-                    r.start.as_micros(),
-                    r.caller,
-                    r.size_kb,
-                    r.rank,
-                    encode_base64(r.key.as_ref().map(|k| k.as_bytes())),
-                    u8::from(r.object.is_some()),
-                    encode_base64(Some(&r.body)),
-                    encode_base64(r.tenant.as_ref().map(|t| t.as_bytes())),
-                )]
-            }
-            Self::Answer(conn, answer) => {
-                let signal = answer.signal.map_or("-".to_string(), |s| s.to_string());
-                let verdict = match &answer.verdict {
-                    Verdict::Served(result) => format!("served {}", encode_base64(Some(result))),
-                    Verdict::Refused { retry_after, no_retry } => {
-                        format!("refused {} {}", retry_after.as_micros(), u8::from(*no_retry))
-                    }
-                    Verdict::Failed | Verdict::Healthy | Verdict::Unhealthy => "failed".to_string(),
-                    Verdict::NoSuchClass => "unknown".to_string(),
-                    Verdict::Invalid(_) => "invalid".to_string(),
-                };
-                vec![format!("answer {conn} {signal} {verdict}\n")]
+                Box::new(handles.into_iter().map(move |handle| past_run_line(handle, until)))
             }
+            Self::Begin => one_line("begin\n".to_string()),
+            Self::Standby(standby) => one_line(complete_line(standby)),
+            Self::KeyResolved(key, ran, result) => one_line(resolved_line(&key, ran, result.as_deref())),
+            Self::Request(request) => one_line(request_line(&request)),
+            Self::Answer(conn, answer) => one_line(answer_line(conn, &answer)),
         }
     }
 }
 
+fn one_line(line: String) -> Box<dyn Iterator<Item = String>> {
+    Box::new(iter::once(line))
+}
+
+fn encode_key(key: &str) -> String {
+    encode_base64(Some(key.as_bytes()))
+}
+
+fn key_line(state: &KeyState) -> String {
+    let (key, result) = (encode_key(&state.key), encode_base64(state.result.as_deref()));
+    let (until, open) = (state.until.as_micros(), u8::from(state.open));
+    format!("key {key} {:x} {until} {open} {result}\n", state.digest)
+}
+
+fn past_run_line(handle: Handle, until: Duration) -> String {
+    let key = encode_key(&format!("{PAST_RUN_PREFIX}{handle}"));
+    format!("key {key} 0 {} 0 -\n", until.as_micros())
+}
+
+fn resolved_line(key: &str, ran: bool, result: Option<&[u8]>) -> String {
+    format!("settled {} {} {}\n", encode_key(key), u8::from(ran), encode_base64(result))
+}
+
+fn request_line(r: &Request) -> String {
+    let micros = |t: Option<Duration>| t.map_or("-".to_string(), |t| t.as_micros().to_string());
+    let (timeout, cost) = (micros(r.timeout), micros(r.cost));
+    // The name of the object is appended only if there is one: a process of a version that does not know this field can
+    // then still read the other requests.
+    let object =
+        r.object.as_ref().map_or(String::new(), |o| " ".to_string() + &encode_base64(Some(o.as_bytes())));
+    format!(
+        "request {} {} {} {} {timeout} {} {} {} {} {} {} {} {cost}{object}\n",
+        r.conn,
+        r.handle,
+        encode_base64(Some(r.class.as_bytes())),
+        r.start.as_micros(),
+        r.caller,
+        r.size_kb,
+        r.rank,
+        encode_base64(r.key.as_ref().map(|k| k.as_bytes())),
+        u8::from(r.object.is_some()),
+        encode_base64(Some(&r.body)),
+        encode_base64(r.tenant.as_ref().map(|t| t.as_bytes())),
+    )
+}
+
+fn answer_line(conn: ConnId, answer: &Answer) -> String {
+    let signal = answer.signal.map_or("-".to_string(), |s| s.to_string());
+    let verdict = match &answer.verdict {
+        Verdict::Served(result) => format!("served {}", encode_base64(Some(result))),
+        Verdict::Refused { retry_after, no_retry } => {
+            format!("refused {} {}", retry_after.as_micros(), u8::from(*no_retry))
+        }
+        Verdict::Failed | Verdict::Healthy | Verdict::Unhealthy => "failed".to_string(),
+        Verdict::NoSuchClass => "unknown".to_string(),
+        Verdict::Invalid(_) => "invalid".to_string(),
+    };
+    format!("answer {conn} {signal} {verdict}\n")
+}
+
 /// A message received from the peer process.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReceivedMessage {
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -411,7 +411,7 @@
     let until = Duration::from_micros(1_764_576_000_123_456);
     let state = KeyState { key: key.clone(), digest: u64::MAX, until, open: true, result: result.clone() };
     let decode = |word: HandoverMessage| -> Vec<_> {
-        word.to_lines().iter().map(|l| parse(l.trim_end_matches('\n')).expect(l)).collect()
+        word.into_lines().map(|l| parse(l.trim_end_matches('\n')).expect(&l)).collect()
     };
     let complete = ReceivedMessage::Succession(Succession::KeysComplete { standby: true });
     assert_eq!(
@@ -448,7 +448,7 @@
         object: Some("match 7".into()),
         body: (*b"\r\n").into(),
     };
-    let line = HandoverMessage::Request(Box::new(request.clone())).to_lines().concat();
+    let line: String = HandoverMessage::Request(Box::new(request.clone())).into_lines().collect();
     assert_eq!(
         decode(HandoverMessage::Request(Box::new(request.clone()))),
         [ReceivedMessage::Request(Box::new(request.clone()))]
@@ -462,7 +462,8 @@
         assert_eq!(parse(old), Ok(ReceivedMessage::Request(Box::new(read))), "{old}");
     }
     // Guards also against sending a word that versions without objects cannot decode, where there is no object.
-    let plain = HandoverMessage::Request(Box::new(Request { object: None, ..request })).to_lines().concat();
+    let plain: String =
+        HandoverMessage::Request(Box::new(Request { object: None, ..request })).into_lines().collect();
     assert_eq!((plain.split(' ').count(), line.split(' ').count()), (14, 15));
     let refused = Verdict::Refused { retry_after: Duration::from_millis(50), no_retry: true };
     for verdict in [Verdict::Served((*b"r").into()), refused, Verdict::Failed, Verdict::NoSuchClass] {
--- a/tests/program/harness.rs
+++ b/tests/program/harness.rs
@@ -265,6 +265,11 @@
         self.memory_kb("VmRSS:")
     }
 
+    /// The most resident memory that the program has had, in kilobytes.
+    pub fn peak_resident_kb(&self) -> u64 {
+        self.memory_kb("VmHWM:")
+    }
+
     /// Resident memory that belongs to the program alone, in kilobytes.
     pub fn anonymous_kb(&self) -> u64 {
         self.memory_kb("RssAnon:")
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -138,7 +138,7 @@
         open in any::<bool>(),
         result in prop::option::of(bytes(4096)),
     ) {
-        let line = |word: HandoverMessage| word.to_lines()[0].trim_end_matches('\n').to_string();
+        let line = |word: HandoverMessage| word.into_lines().next().unwrap().trim_end_matches('\n').to_string();
         let state = KeyState { key: key.clone(), digest, until: Duration::from_micros(until), open, result: result.clone() };
         let decoded = parse(&line(HandoverMessage::Keys(vec![state.clone()], open)));
         prop_assert_eq!(decoded, Ok(ReceivedMessage::Succession(Succession::Key(state))));
