Give back the room of a key's ended tries while the key is remembered

Callers cost: each remembered key held the room of four tries in the reducer and of four in the decision module for its whole window, although nearly all keys have one try, which ends at once.

Cause: a list that has been emptied keeps its capacity (`Entry::tries`, `KeyGroup::tries`).

Change: the reducer's list is dropped with its last try; the module's grows by one.

Decisions are unchanged.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -169,6 +169,10 @@
     pub fn remove_try(&mut self, key: &Key, id: RequestId) {
         let Some(e) = self.entries.get_mut(key) else { return };
         e.tries.retain(|t| t.id != id);
+        if e.tries.is_empty() {
+            // Most keys have one try, and are kept long after it.
+            e.tries = Vec::new();
+        }
         if e.run.is_none() {
             // The holder may have ended during a run that is now known not to have begun.
             e.holder = e.holder.filter(|(holder, _)| e.tries.iter().any(|t| t.id == *holder));
--- a/src/decisions/keys.rs
+++ b/src/decisions/keys.rs
@@ -96,6 +96,8 @@
             self.group_of.insert(r, group);
         }
         g.tries.retain(|t| *t != id);
+        // Most keys have one try, and are kept long after it.
+        g.tries.reserve_exact(1);
         g.tries.push(id);
         self.group_of.insert(id, group);
         group
--- a/tests/program/memory.rs
+++ b/tests/program/memory.rs
@@ -1,17 +1,25 @@
 //! What the tables of the program take of its memory limit, alone and beside the other process of an upgrade.
 
 use std::io::Write;
+use std::ops::Range;
+use std::thread;
 use std::time::Duration;
 
 use crate::harness::*;
 
-/// Sends a request with each of these keys and bodies on one connection, and waits for all answers.
-fn fill_keys(program: &Program, keys: impl Iterator<Item = String>, body: &[u8]) {
-    let mut stream = connect(program.http);
-    for key in keys {
-        stream.write_all(&Request::keyed(&key, body).http()).unwrap();
-        assert_eq!(read_answer(&mut stream).status, 200, "{key}");
-    }
+/// Connections by which keys are filled.
+const CONNECTIONS: usize = 6;
+
+/// Sends a request with each of these keys and this body, and waits for all answers.
+fn fill_keys(program: &Program, keys: Range<usize>, body: &[u8]) {
+    let fill = &|first: usize| {
+        let mut stream = connect(program.http);
+        for n in keys.clone().skip(first).step_by(CONNECTIONS) {
+            stream.write_all(&Request::keyed(&format!("key {n}"), body).http()).unwrap();
+            assert_eq!(read_answer(&mut stream).status, 200, "key {n}");
+        }
+    };
+    thread::scope(|scope| (0..CONNECTIONS).for_each(|first| _ = scope.spawn(move || fill(first))));
 }
 
 /// A program whose agent has the memory for as many keys as a test wants.
@@ -27,9 +35,25 @@
     const RESULT_BYTES: usize = 2_000;
     let [old_agent, new_agent] = [(); 2].map(|()| Agent::start(6, Duration::ZERO, false));
     let old = program_for_keys(&old_agent);
-    fill_keys(&old, (0..RESULTS).map(|n| format!("key {n}")), &[b'r'; RESULT_BYTES]);
+    fill_keys(&old, 0..RESULTS, &[b'r'; RESULT_BYTES]);
     let before_kb = old.resident_kb();
     let _new = old.successor(&old_agent, &new_agent);
     let growth_kb = old.peak_resident_kb() - before_kb;
     assert!(growth_kb < 1_500, "{growth_kb} kB for the handover of {} kB", RESULTS * RESULT_BYTES / 1000);
 }
+
+#[test]
+fn a_key_is_kept_without_the_room_of_its_ended_tries() {
+    // Guards against keys that take the memory of requests for as long as they are remembered.
+    const KEYS: usize = 4_000;
+    const MAX_BYTES_PER_KEY: u64 = 700;
+    let agent = Agent::start(6, Duration::ZERO, false);
+    let program = program_for_keys(&agent);
+    // The log keeps the events of the first requests.
+    fill_keys(&program, 0..2_000, b"");
+    let before_kb = program.anonymous_kb();
+    fill_keys(&program, 2_000..2_000 + KEYS, b"");
+    let growth_bytes = (program.anonymous_kb() - before_kb) * 1024;
+    let per_key = growth_bytes / KEYS as u64;
+    assert!(per_key < MAX_BYTES_PER_KEY, "{per_key} bytes for a key");
+}
