Let read buffers grow in whole blocks instead of doubling

Cause: a read made room for 4 KiB behind what was there, and the buffer's capacity doubled for it: a head of over 4 KiB had a buffer of 16 KiB, of which 12 were touched. A few bytes had 8 KiB.

Change: a read fills the block of 4 KiB that was begun, and the buffer grows by one block at a time.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -28,8 +28,8 @@
 pub const MIN_FIRST_IDLE: Duration = Duration::from_secs(1);
 /// A client that reads nothing for this long is taken to have stopped reading.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The number of bytes to read at once.
-const READ_CHUNK: usize = 4096;
+/// Buffers grow in blocks of this many bytes, and a read fills the last block at most.
+const READ_BLOCK: usize = 4096;
 /// How many reads are made at most before what they brought is decoded.
 const MAX_READS: usize = 4;
 /// Once the server has stopped accepting connections, the rest of a partial request must arrive within this time. It is
@@ -259,7 +259,9 @@
 /// Reads once and appends to `bytes`; returns the number of bytes read.
 pub(crate) fn read_some(stream: &mut impl Read, bytes: &mut Vec<u8>) -> io::Result<usize> {
     let old_len = bytes.len();
-    bytes.resize(old_len + READ_CHUNK, 0);
+    let room = READ_BLOCK - old_len % READ_BLOCK;
+    bytes.reserve_exact(room);
+    bytes.resize(old_len + room, 0);
     let read = stream.read(&mut bytes[old_len..]);
     bytes.truncate(old_len + *read.as_ref().unwrap_or(&0));
     read
--- a/tests/program/memory.rs
+++ b/tests/program/memory.rs
@@ -1,31 +1,35 @@
 //! What the tables of the program take of its memory limit, alone and beside the other process of an upgrade.
 
 use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 
 use crate::harness::*;
 
+/// The least memory limit of a deployment.
+const MEMORY_MB: usize = 32;
 /// Connections by which keys are filled.
-const CONNECTIONS: usize = 6;
+const CONNECTIONS_OF_KEYS: usize = 6;
 
 /// Sends a request with each of these keys and this body, and waits for all answers.
 fn fill_keys(program: &Program, keys: Range<usize>, body: &[u8]) {
     let fill = &|first: usize| {
         let mut stream = connect(program.http);
-        for n in keys.clone().skip(first).step_by(CONNECTIONS) {
+        for n in keys.clone().skip(first).step_by(CONNECTIONS_OF_KEYS) {
             stream.write_all(&Request::keyed(&format!("key {n}"), body).http()).unwrap();
             assert_eq!(read_answer(&mut stream).status, 200, "key {n}");
         }
     };
-    thread::scope(|scope| (0..CONNECTIONS).for_each(|first| _ = scope.spawn(move || fill(first))));
+    thread::scope(|scope| (0..CONNECTIONS_OF_KEYS).for_each(|first| _ = scope.spawn(move || fill(first))));
 }
 
 /// A program whose agent has the memory for as many keys as a test wants.
 fn program_for_keys(agent: &Agent) -> Program {
     let site = vec![(r#""kb_per_key": 117.75"#, r#""kb_per_key": 0.01"#)];
-    Program::start(Setup { agent: Some(agent.address), memory_mb: Some(32), site, ..Setup::default() })
+    let setup = Setup { memory_mb: Some(MEMORY_MB), sockets: Some(512), site, ..Setup::default() };
+    Program::start(Setup { agent: Some(agent.address), ..setup })
 }
 
 #[test]
@@ -57,3 +61,44 @@
     let per_key = growth_bytes / KEYS as u64;
     assert!(per_key < MAX_BYTES_PER_KEY, "{per_key} bytes for a key");
 }
+
+/// Opens connections that each have written this part of a request.
+fn open_half_written(address: SocketAddr, connections: usize, part: &[u8]) -> Vec<TcpStream> {
+    let open = |_| {
+        let mut stream = connect(address);
+        stream.write_all(part).unwrap();
+        stream
+    };
+    (0..connections).map(open).collect()
+}
+
+/// The first part of a request with a large head.
+fn half_a_head() -> Vec<u8> {
+    format!("POST /do/queue-status HTTP/1.1\r\nX-Pad: {}", "p".repeat(7_800)).into_bytes()
+}
+
+/// Waits until the program has read what its clients have written before.
+fn wait_for_reads(program: &Program) {
+    assert_eq!(exchange(program.http, b"GET /check HTTP/1.1\r\nConnection: close\r\n\r\n").status, 200);
+}
+
+/// What each of many connections takes on which this part of a request has arrived, in bytes.
+fn memory_of_half_written(part: &[u8]) -> u64 {
+    const CONNECTIONS: usize = 300;
+    let agent = Agent::start(1, Duration::ZERO, false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let before_kb = program.anonymous_kb();
+    let _clients = open_half_written(program.http, CONNECTIONS, part);
+    wait_for_reads(&program);
+    (program.anonymous_kb() - before_kb) * 1024 / CONNECTIONS as u64
+}
+
+#[test]
+fn half_a_request_takes_little_more_than_its_bytes() {
+    // Guards against buffers that grow to twice what they hold.
+    const ROOM_BESIDE_THE_BYTES: u64 = 2048;
+    let part = half_a_head();
+    let growth = memory_of_half_written(&part) - memory_of_half_written(&part[..64]);
+    let most = part.len() as u64 + ROOM_BESIDE_THE_BYTES;
+    assert!(growth < most, "{growth} bytes more for a part of {} bytes", part.len());
+}
