Keep 32 stacks of ended connections for reuse instead of 128

Operators would see: the old process of an upgrade keeps the memory of connections that have ended, beside the new one.

Cause: the runtime kept 128 stacks, each with the pages that its connection had touched; they were also made at the start.

Change: 32 are kept. Coroutines of ended connections are followed by new ones at once, so that the rest were used by crowds alone.

--- a/src/net/spawn.rs
+++ b/src/net/spawn.rs
@@ -21,7 +21,7 @@
 /// it does anything else. Socket timeouts are handled by the worker itself.
 const WORKERS: usize = 1;
 /// How many stacks are kept for reuse. Each has touched a few pages.
-const STACK_POOL_CAPACITY: usize = 128;
+const STACK_POOL_CAPACITY: usize = 32;
 
 /// Configures the runtime. Must be called before the first [`spawn`].
 pub fn start_runtime() {
--- a/tests/program/memory.rs
+++ b/tests/program/memory.rs
@@ -102,3 +102,19 @@
     let most = part.len() as u64 + ROOM_BESIDE_THE_BYTES;
     assert!(growth < most, "{growth} bytes more for a part of {} bytes", part.len());
 }
+
+#[test]
+fn connections_that_have_ended_give_back_their_stacks() {
+    // Guards against an old process of an upgrade that keeps the memory of connections which went to the new one.
+    const CONNECTIONS: usize = 300;
+    let agent = Agent::start(1, Duration::ZERO, false);
+    let program = Program::start(Setup { agent: Some(agent.address), ..Setup::default() });
+    let (before_kb, descriptors) = (program.anonymous_kb(), program.descriptors());
+    let clients = open_half_written(program.http, CONNECTIONS, b"POST /do/queue-status HTTP/1.1\r\n");
+    wait_for_reads(&program);
+    let open_kb = program.anonymous_kb() - before_kb;
+    drop(clients);
+    wait_for("their end", || program.descriptors() <= descriptors);
+    let kept_kb = program.anonymous_kb() - before_kb;
+    assert!(kept_kb * 3 < open_kb * 2, "{kept_kb} kB of {open_kb} are kept");
+}
