Divide the memory for keys and results between the two processes of an upgrade

Operators would see: an upgrade while the tables are full takes the matcher over its memory limit, and it is killed with all it holds. Trial at 32 MB and 512 descriptors (keys of 250 characters until new ones are refused, results of 2 KB, 370 clients in half a head, as many more at the new process): 46,024 KiB at most.

Cause: the shares of the limit were those of one process. Keys are in both processes of an upgrade, and both kept results to the whole share.

The oldest results go one by one, not the older half.

--- a/src/core/keys.rs
+++ b/src/core/keys.rs
@@ -7,8 +7,10 @@
 
 use super::types::{Bytes, Key, KeyState};
 use crate::interface::RequestId;
-use crate::settings::MemoryBudget;
+use crate::settings::{key_size, MemoryBudget};
 
+/// When results are dropped for lack of room, this part of the room is freed at least.
+const FREED_PART: usize = 8;
 /// Tries that arrive up to this long after the end of a window are treated as within it.
 pub(super) const WINDOW_MARGIN: Duration = Duration::from_secs(1);
 
@@ -59,8 +61,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Keys {
     entries: HashMap<Key, Entry>,
+    /// Size of all keys, each counted with [`key_size`].
+    key_bytes: usize,
     result_bytes: usize,
     budget: MemoryBudget,
+    /// Another process of this matcher keeps results as well.
+    shares_results: bool,
 }
 
 impl Keys {
@@ -74,9 +80,17 @@
         self.budget = budget;
     }
 
+    /// Sets whether another process of this matcher keeps results as well: then each has half of the room.
+    pub fn set_shares_results(&mut self, shares_results: bool) {
+        self.shares_results = shares_results;
+        self.limit_results();
+    }
+
     /// Whether a try of this key can be added: the key is known, or there is room for one more.
     pub fn has_room_for(&self, key: &Key) -> bool {
-        self.entries.len() < self.budget.keys || self.is_known(key)
+        let fits =
+            self.entries.len() < self.budget.keys && self.key_bytes + key_size(key) <= self.budget.key_bytes;
+        fits || self.is_known(key)
     }
 
     /// Whether the key stands for a request with a digest other than this one.
@@ -108,7 +122,10 @@
         start: Duration,
         window: Duration,
     ) -> Option<RequestId> {
-        let e = self.entries.entry(key.clone()).or_insert_with(|| Entry { digest, ..Entry::default() });
+        let e = self.entries.entry(key.clone()).or_insert_with(|| {
+            self.key_bytes += key_size(key);
+            Entry { digest, ..Entry::default() }
+        });
         let run = e.run.as_ref().filter(|r| start <= r.until).map(|r| r.id);
         let holder = e.holder.filter(|(_, until)| start <= *until).map(|(id, _)| id);
         // Tries that arrive at the same time find each other even before one of them becomes the holder.
@@ -152,9 +169,7 @@
         self.result_bytes -= result_size(Some(run));
         run.result = result;
         self.result_bytes += result_size(Some(run));
-        if self.result_bytes > self.budget.result_bytes {
-            self.drop_results();
-        }
+        self.limit_results();
     }
 
     /// Removes the record of a try's run that is proven not to have begun.
@@ -178,6 +193,7 @@
             e.holder = e.holder.filter(|(holder, _)| e.tries.iter().any(|t| t.id == *holder));
             if e.tries.is_empty() && e.holder.is_none() {
                 self.entries.remove(key);
+                self.key_bytes -= key_size(key);
             }
         }
     }
@@ -201,8 +217,10 @@
     pub fn import(&mut self, state: KeyState, id: RequestId) {
         let KeyState { key, digest, until, result, .. } = state;
         let run = Some(Run { id, until, result: None });
-        let previous = self.entries.insert(key.clone(), Entry { digest, run, ..Entry::default() });
-        self.result_bytes -= previous.map_or(0, |e| result_size(e.run.as_ref()));
+        match self.entries.insert(key.clone(), Entry { digest, run, ..Entry::default() }) {
+            Some(previous) => self.result_bytes -= result_size(previous.run.as_ref()),
+            None => self.key_bytes += key_size(&key),
+        }
         self.end_run(&key, id, result);
     }
 
@@ -219,24 +237,35 @@
     /// Forgets keys whose runs can no longer be repeated by a new try. A try that arrived within a window may be read
     /// up to `lateness` later, and so after the end of the window.
     pub fn sweep(&mut self, now: Duration, lateness: Duration) {
-        let result_bytes = &mut self.result_bytes;
-        self.entries.retain(|_, e| {
+        let (key_bytes, result_bytes) = (&mut self.key_bytes, &mut self.result_bytes);
+        self.entries.retain(|key, e| {
             let is_repeatable = e.run.as_ref().is_some_and(|r| now <= r.until + lateness);
             let keep = is_repeatable || !e.tries.is_empty();
             if !keep {
+                *key_bytes -= key_size(key);
                 *result_bytes -= result_size(e.run.as_ref());
             }
             keep
         });
     }
 
-    /// Drops the older half of the results.
-    fn drop_results(&mut self) {
+    /// Drops the oldest results while there are more than there is room for.
+    fn limit_results(&mut self) {
+        let room = self.budget.result_bytes / if self.shares_results { 2 } else { 1 };
+        if self.result_bytes > room {
+            self.drop_results(room - room / FREED_PART);
+        }
+    }
+
+    /// Drops the oldest results until no more than these bytes are left.
+    fn drop_results(&mut self, max_bytes: usize) {
         let mut with_result: Vec<_> =
             self.entries.values_mut().filter_map(|e| e.run.as_mut()).filter(|r| r.result.is_some()).collect();
         with_result.sort_by_key(|r| r.until);
-        let half = with_result.len().div_ceil(2);
-        for run in with_result.into_iter().take(half) {
+        for run in with_result {
+            if self.result_bytes <= max_bytes {
+                break;
+            }
             self.result_bytes -= run.result.take().map_or(0, |r| r.len());
         }
     }
--- a/src/core/succession.rs
+++ b/src/core/succession.rs
@@ -44,7 +44,7 @@
     pub(super) predecessor: PeerLink,
     /// The predecessor has handed over all keys.
     has_all_keys: bool,
-    /// Both processes run and may call the dependency: each keeps to half of the matcher's share.
+    /// Both processes run: each keeps to half of the matcher's share of calls, and of the memory for results.
     pub(super) is_running: bool,
     /// A successor has ended after it had taken over. Until this time, tries may repeat runs of that process, which are
     /// unknown here.
@@ -109,11 +109,11 @@
                 self.resolve_standby_orders(Peer::Predecessor, false);
                 self.end_joins_with_predecessor(now);
             }
-            Succession::PredecessorRunning => self.set_call_share_halved(true),
+            Succession::PredecessorRunning => self.set_shares_limits(true),
             Succession::PredecessorExited => {
                 self.peer.predecessor = PeerLink::None;
                 self.resolve_standby_orders(Peer::Predecessor, true);
-                self.set_call_share_halved(false);
+                self.set_shares_limits(false);
                 self.end_joins_with_predecessor(now);
                 self.effects.push(Effect::PeerExited);
             }
@@ -143,7 +143,7 @@
             Succession::SuccessorExited => {
                 self.peer.successor = PeerLink::None;
                 self.resolve_standby_orders(Peer::Successor, true);
-                self.set_call_share_halved(false);
+                self.set_shares_limits(false);
                 self.fail_forwarded();
                 let windows = self.site.settings.classes.iter().map(|c| c.window);
                 self.peer.may_lack_keys_until = now + windows.max().unwrap_or_default();
@@ -163,7 +163,7 @@
     fn hand_over(&mut self, now: Duration) {
         self.peer.successor_waits = false;
         self.peer.successor = PeerLink::Up;
-        self.set_call_share_halved(true);
+        self.set_shares_limits(true);
         let predecessor_keys = &self.peer.open_keys;
         let is_open = |key: &KeyState| key.open || predecessor_keys.contains_key(&key.key);
         let keys =
@@ -202,11 +202,13 @@
         until.min(latest)
     }
 
-    /// Sets whether this process keeps to half of the matcher's share of calls. The dependency can bear the shares of
-    /// all matchers, so two processes of one matcher must divide its share.
-    fn set_call_share_halved(&mut self, is_halved: bool) {
-        if std::mem::replace(&mut self.peer.is_running, is_halved) != is_halved {
+    /// Sets whether another process of the matcher runs, so that this one keeps to half of what the matcher may have.
+    /// The dependency can bear the shares of all matchers, so two processes of one matcher must divide its share; and
+    /// they divide the memory for results.
+    fn set_shares_limits(&mut self, is_shared: bool) {
+        if std::mem::replace(&mut self.peer.is_running, is_shared) != is_shared {
             self.engine.reconfigure(self.module_settings(), &[]);
+            self.keys.set_shares_results(is_shared);
         }
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,7 +26,7 @@
 use node::{boolean, integer, kilobytes, micros, number, parse_json, parsed, string, Node};
 
 pub use error::{ConfigError, Problem};
-pub use memory::MemoryBudget;
+pub use memory::{key_size, MemoryBudget};
 pub use routes::{Routes, Voter};
 
 /// The settings of the decision module, and the names that they have on the wire.
