Write the log on a thread of its own, so that its reader holds up no client

Operators would see: the collector of standard error stops for some seconds, and no client and no health check is answered (none within 10 s); it goes away, and the matcher ends with exit status 101, with all that it holds.

Cause: the log was written by whoever had a line, in the reducer and in the worker of the connections. A write to a full pipe waits, and what bad clients do fills the 64 KiB of one in two seconds (200 lines a second). A write to a pipe without a reader fails, and the library answers that with a message on standard error, which panics.

Ruled out: other writers of standard error in `serve` (there are none), and SIGPIPE, which is ignored.

Change: the lines go to a queue of 6,000, which a thread writes (`tracing-appender`, from crates.io); beyond that, lines are dropped. At the exit it waits for them for a second at most.

Measured: log::a_log_that_is_not_read_holds_up_no_client and log::a_log_whose_reader_is_gone_does_not_end_the_program failed before, and pass.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet_commands;
 mod program_error;
+mod program_log;
 mod signals;
 
 #[cfg(test)]
@@ -17,9 +18,8 @@
 use hopwalk::lab;
 use hopwalk::net::{start_runtime, Node};
 use hopwalk::settings::{Appliance, Config};
-use hopwalk::{acme, console, error_text, settings};
+use hopwalk::{acme, console, error_text};
 use program_error::ProgramError;
-use tracing_subscriber::EnvFilter;
 
 /// A matchmaking server with admission control under overload.
 #[derive(Parser)]
@@ -217,17 +217,10 @@
     out: Option<PathBuf>,
 }
 
-/// Starts logging to standard error. Individual requests are logged only if the filter in RELAY_LOG enables it.
-fn start_log() -> Result<(), ProgramError> {
-    let filter = EnvFilter::try_new(settings::log_filter()).map_err(ProgramError::Log)?;
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    Ok(())
-}
-
 fn serve() -> Result<(), ProgramError> {
     // This comes first: until the handlers are installed, a signal would end the process.
     let signals = signals::install().map_err(ProgramError::Signals)?;
-    start_log()?;
+    let _log_guard = program_log::start()?;
     let config = Config::from_env()?;
     start_runtime();
     let certificate = acme::SharedCertificate::default();
--- a/tests/program/main.rs
+++ b/tests/program/main.rs
@@ -16,6 +16,7 @@
 mod harness;
 mod in_doubt;
 mod links;
+mod log;
 mod memory;
 mod payloads;
 mod repeats;
