Leave a new process the descriptors that the old one does not hold

Cause: each process took half of the connections for its limit, but the old one keeps all connections that are owed an answer.

Change: the new process counts the old one's descriptors in /proc every 50 ms and keeps its own connections to what is left. What the system tells of the other process has a module of its own (`net/handover/process.rs`).

--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -9,6 +9,7 @@
 //! The link exists for seconds, and a peer process that reads nothing must not block the reducer. So the link has
 //! threads of its own and a bounded queue. When the queue is full the link is closed, which both processes handle.
 
+mod process;
 mod wire;
 
 use std::collections::HashMap;
@@ -24,12 +25,9 @@
 
 use miette::Diagnostic;
 use nix::errno::Errno;
-use nix::sys::signal::kill;
-use nix::sys::socket::getsockopt;
-use nix::sys::socket::sockopt::PeerCredentials;
-use nix::unistd::Pid;
 use tracing::{info, warn};
 
+use process::{is_alive, peer_pid};
 pub use wire::{parse, with_source, HandoverMessage, ReceivedMessage};
 
 use super::frontend::read_some;
@@ -47,6 +45,8 @@
 const EXIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which the peer process is checked for its exit.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which the descriptors of a running predecessor are counted.
+const DESCRIPTOR_COUNT_INTERVAL: Duration = Duration::from_millis(50);
 /// Stack size of the link's threads: their buffers are on the heap.
 const STACK_SIZE: usize = 128 << 10;
 
@@ -193,22 +193,6 @@
     }
 }
 
-/// The id of the process at the other end, if the system reports one.
-fn peer_pid(stream: &UnixStream) -> Option<i32> {
-    getsockopt(stream, PeerCredentials).ok().map(|credentials| credentials.pid()).filter(|pid| *pid > 0)
-}
-
-/// Whether a process has not ended. A zombie has ended. A process whose state cannot be read, for example because no
-/// descriptor is free, counts as alive: it is checked again later.
-fn is_alive(pid: i32) -> bool {
-    if kill(Pid::from_raw(pid), None) == Err(Errno::ESRCH) {
-        return false;
-    }
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"));
-    let state = stat.as_ref().ok().and_then(|stat| stat.rsplit_once(") ")).map(|(_, state)| state);
-    !state.is_some_and(|state| state.starts_with(['Z', 'X']))
-}
-
 /// Called when the link has ended: waits until the peer process has exited, then reports `exited` to the reducer. If
 /// the link broke while both processes live, as it can when one of them was stopped for long, `disconnected` is
 /// reported first: two processes must not decide at the same time.
@@ -227,6 +211,24 @@
     hub.push(Input::Succession(exited));
 }
 
+/// Counts the descriptors of the predecessor until it has exited: it may still need more than its half of them, for
+/// connections that are owed an answer. The first count is made at once.
+fn watch_descriptors(pid: i32, hub: &Arc<Hub>) {
+    hub.set_peer_descriptors(process::count_descriptors(pid));
+    let watching = hub.clone();
+    let watch = move || {
+        while is_alive(pid) {
+            thread::sleep(DESCRIPTOR_COUNT_INTERVAL);
+            watching.set_peer_descriptors(process::count_descriptors(pid));
+        }
+        watching.set_peer_descriptors(None);
+    };
+    if let Err(e) = thread::Builder::new().stack_size(STACK_SIZE).spawn(watch) {
+        warn!("cannot watch the descriptors of the running process: {e}");
+        hub.set_peer_descriptors(None);
+    }
+}
+
 /// Maps "address not available" to an error that is retried: a Unix socket needs no such address, so the system's
 /// report is temporary.
 fn as_transient(e: io::Error) -> io::Error {
@@ -250,6 +252,7 @@
             // good that the predecessor is running.
             hub.push(Input::Succession(Succession::PredecessorRunning));
             let pid = peer_pid(&reads);
+            pid.into_iter().for_each(|pid| watch_descriptors(pid, &hub));
             predecessor.read_messages(reads, Peer::Predecessor, &hub);
             wait_for_exit(pid, &hub, Succession::PredecessorDisconnected, Succession::PredecessorExited);
         };
--- a/src/net/hub.rs
+++ b/src/net/hub.rs
@@ -52,6 +52,10 @@
     pub(super) sockets: usize,
     /// How many client connections the memory limit allows.
     memory_connections: AtomicUsize,
+    /// During a handover the two processes of a matcher share descriptors and memory.
+    shares_descriptors: AtomicBool,
+    /// How many descriptors the predecessor holds; 0 without one, or where that cannot be told.
+    peer_descriptors: AtomicUsize,
     max_connections: AtomicUsize,
     spare_connections: AtomicUsize,
     /// How many calls to the dependency may be in progress at once. Each uses one of the reserved descriptors.
@@ -118,6 +122,8 @@
             closes: CloseCounts::default(),
             sockets,
             memory_connections: AtomicUsize::new(usize::MAX),
+            shares_descriptors: AtomicBool::new(false),
+            peer_descriptors: AtomicUsize::new(0),
             max_connections: AtomicUsize::new(1),
             spare_connections: AtomicUsize::new(0),
             max_calls: AtomicUsize::new(1),
@@ -135,27 +141,41 @@
             calls_blocked: AtomicBool::new(false),
             classes: Mutex::new(classes),
         };
-        hub.set_descriptor_share(false);
+        hub.update_limits();
         hub
     }
 
     /// Limits the client connections to what the memory limit allows.
     pub(super) fn limit_connections(&self, connections: usize) {
         self.memory_connections.store(connections, Ordering::Relaxed);
-        self.set_descriptor_share(false);
+        self.update_limits();
     }
 
-    /// Sets the limits on connections and calls. During a handover the two processes of a matcher share descriptors and
-    /// memory, so that each gets half of them.
+    /// Sets whether two processes of the matcher share descriptors and memory, so that each gets half of them.
     pub(super) fn set_descriptor_share(&self, is_shared: bool) {
-        let processes = if is_shared { 2 } else { 1 };
+        self.shares_descriptors.store(is_shared, Ordering::Relaxed);
+        self.update_limits();
+    }
+
+    /// Sets how many descriptors the predecessor holds, where that is known: as long as it needs more than its half, this
+    /// process has fewer connections.
+    pub(super) fn set_peer_descriptors(&self, descriptors: Option<usize>) {
+        self.peer_descriptors.store(descriptors.unwrap_or(0), Ordering::Relaxed);
+        self.update_limits();
+    }
+
+    /// Updates the limits on connections and calls. Threads that do so at the same time take turns.
+    fn update_limits(&self) {
+        let mut connection_table = self.connections();
+        let processes = if self.shares_descriptors.load(Ordering::Relaxed) { 2 } else { 1 };
         let reserved = RESERVED_DESCRIPTORS.min(self.sockets / 2);
         let connections = (self.sockets - reserved).min(self.memory_connections.load(Ordering::Relaxed));
-        let max_connections = (connections / processes).max(1);
+        let left_by_peer = self.sockets.saturating_sub(self.peer_descriptors.load(Ordering::Relaxed));
+        let max_connections = (connections / processes).min(left_by_peer.saturating_sub(reserved / 2)).max(1);
         self.max_connections.store(max_connections, Ordering::Relaxed);
         self.max_calls.store((reserved / 2 / processes).max(1), Ordering::Relaxed);
         self.spare_connections.store(reserved / SPARE_DIVISOR / processes, Ordering::Relaxed);
-        self.connections().shrink(max_connections, Instant::now(), ConnectionHandle::evict);
+        connection_table.shrink(max_connections, Instant::now(), ConnectionHandle::evict);
     }
 
     /// How many calls to the dependency may be in progress at once.
--- a/tests/program/upgrade.rs
+++ b/tests/program/upgrade.rs
@@ -88,6 +88,35 @@
     assert_eq!(exchange(new.http, &Request::new("queue-status", b"n").http()).body, b"made:n");
 }
 
+#[test]
+fn two_processes_whose_clients_all_wait_for_answers_stay_within_the_descriptor_limit_of_one() {
+    // Guards against a successor that fills its half of the connections while the predecessor still owes answers on all
+    // of them.
+    const SOCKETS: usize = 512;
+    const CLIENTS: usize = 450;
+    let [old_agent, new_agent] = [(); 2].map(|()| Agent::start(1, Duration::from_millis(400), false));
+    let old = Program::start(Setup { sockets: Some(SOCKETS), ..with_agent(&old_agent) });
+    let address = old.http;
+    let connect_waiting = || {
+        let mut stream = connect(address);
+        stream
+            .write_all(&Request { timeout_ms: 4_000, ..Request::new("queue-status", b"a") }.http())
+            .unwrap();
+        stream
+    };
+    let _clients_of_old: Vec<_> = (0..CLIENTS).map(|_| connect_waiting()).collect();
+    wait_for("a full table", || old.descriptors() > SOCKETS / 2);
+    let new = old.successor(&old_agent, &new_agent);
+    let mut clients_of_both = Vec::new();
+    let mut most = 0;
+    for _ in 0..CLIENTS {
+        clients_of_both.push(connect_waiting());
+        most = most.max(old.descriptors() + new.descriptors());
+    }
+    assert!(most <= SOCKETS, "{most} descriptors");
+    wait_for("connections at the successor", || new.descriptors() > SOCKETS / 4);
+}
+
 #[test]
 fn a_server_drained_by_operators_stays_drained_after_an_upgrade() {
     // Guards against a drained server that accepts callers again because it was upgraded.
